--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Sets up a virtual environment from the lock file; `make run` and `make test`
+# need nothing else on a machine with Python 3.11 and the package registries.
+VENV := .venv
+PY := $(VENV)/bin/python
+ARGS :=
+
+.PHONY: setup run test lint format lock matrix clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements.lock
+	$(PY) -m pip install --quiet --no-deps -e .
+	touch $@
+
+run: setup
+	$(VENV)/bin/cyclamenscale local $(ARGS)
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lock:
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet pip-tools
+	$(VENV)/bin/pip-compile --quiet --extra dev --strip-extras \
+	    --allow-unsafe --no-emit-index-url --no-emit-find-links \
+	    --no-emit-trusted-host --output-file requirements.lock pyproject.toml
+
+clean:
+	rm -rf $(VENV) build *.egg-info .pytest_cache .hypothesis .ruff_cache
--- /dev/null
+++ b/cyclamenscale/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that measure the policies, the request path and slopes."""
--- /dev/null
+++ b/cyclamenscale/messages.py
@@ -0,0 +1,323 @@
+"""Messages between entries.
+
+A frame is one version byte, one byte for the message type, and the message
+as a msgpack array. Frames of another version, of an unknown type, over the
+size limit or with other fields than the type's are refused with
+:class:`cyclamenscale.errors.FrameError`.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cyclamenscale.errors import FrameError
+from cyclamenscale.util.codec import pack, unpack
+
+WIRE_VERSION = 1
+
+MESSAGE_TYPES: dict[int, type] = {}
+TAGS: dict[type, int] = {}
+
+
+def message(tag: int) -> Callable[[type], type]:
+    """Register a message type under its wire tag.
+
+    :param tag: number of the type on the wire; never used again for
+        another type.
+    """
+
+    def register(kind: type) -> type:
+        MESSAGE_TYPES[tag] = kind
+        TAGS[kind] = tag
+        return kind
+
+    return register
+
+
+@message(1)
+class Heartbeat(NamedTuple):
+    """State of the sender, sent to each peer at an interval.
+
+    :ivar sender: name of the sending entry.
+    :ivar incarnation: its incarnation.
+    :ivar address: ``host:port`` of its peer link.
+    :ivar data_centre: where it runs.
+    :ivar applied: configuration revision it has applied.
+    :ivar members_revision: revision of its member list.
+    :ivar sequence: number of the heartbeat, echoed by :class:`Vouch`.
+    :ivar admitting: whether it admits work now.
+    """
+
+    sender: str
+    incarnation: int
+    address: str
+    data_centre: str
+    applied: int
+    members_revision: int
+    sequence: int
+    admitting: bool
+
+
+@message(2)
+class Vouch(NamedTuple):
+    """Answer to a heartbeat: what the sender has applied.
+
+    :ivar sender: name of the answering entry.
+    :ivar incarnation: its incarnation.
+    :ivar sequence: number of the heartbeat it answers.
+    :ivar applied: highest configuration revision it has applied.
+    :ivar members_revision: revision of its member list.
+    """
+
+    sender: str
+    incarnation: int
+    sequence: int
+    applied: int
+    members_revision: int
+
+
+@message(3)
+class ChangeNotice(NamedTuple):
+    """A revision was written; apply it and acknowledge.
+
+    :ivar sender: entry that wrote it.
+    :ivar revision: the configuration revision.
+    """
+
+    sender: str
+    revision: int
+
+
+@message(4)
+class ChangeAck(NamedTuple):
+    """The sender has applied a revision.
+
+    :ivar sender: acknowledging entry.
+    :ivar revision: highest revision it has applied.
+    """
+
+    sender: str
+    revision: int
+
+
+@message(5)
+class DeltaRequest(NamedTuple):
+    """Ask for all changes after a revision.
+
+    :ivar sender: entry that asks.
+    :ivar after: highest revision it has applied.
+    """
+
+    sender: str
+    after: int
+
+
+class ConfigChange(NamedTuple):
+    """One changed key of the configuration.
+
+    :ivar key: store key.
+    :ivar value: its value, empty if it was deleted.
+    :ivar revision: revision of the change.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@message(6)
+class Delta(NamedTuple):
+    """Changes after a revision, in order.
+
+    :ivar sender: answering entry.
+    :ivar after: the revision asked for.
+    :ivar upto: revision the receiver has reached by applying them.
+    :ivar complete: false if the log does not reach back to ``after``, and
+        digests have to be compared.
+    :ivar changes: the changes.
+    """
+
+    sender: str
+    after: int
+    upto: int
+    complete: bool
+    changes: list[ConfigChange]
+
+
+@message(7)
+class DigestRequest(NamedTuple):
+    """Ask for the digests of the configuration's key buckets.
+
+    :ivar sender: entry that asks.
+    """
+
+    sender: str
+
+
+@message(8)
+class Digest(NamedTuple):
+    """Digests of the key buckets at a revision.
+
+    :ivar sender: answering entry.
+    :ivar revision: its applied revision.
+    :ivar buckets: 64-bit digest of each bucket.
+    """
+
+    sender: str
+    revision: int
+    buckets: list[int]
+
+
+@message(9)
+class BucketRequest(NamedTuple):
+    """Ask for the content of key buckets.
+
+    :ivar sender: entry that asks.
+    :ivar buckets: numbers of the buckets.
+    """
+
+    sender: str
+    buckets: list[int]
+
+
+@message(10)
+class Bucket(NamedTuple):
+    """Content of one key bucket at a revision.
+
+    :ivar sender: answering entry.
+    :ivar number: number of the bucket.
+    :ivar revision: the sender's applied revision.
+    :ivar items: its keys.
+    """
+
+    sender: str
+    number: int
+    revision: int
+    items: list[ConfigChange]
+
+
+class WantItem(NamedTuple):
+    """A request that waits for a slot.
+
+    :ivar number: the entry's number of the request.
+    :ivar class_name: class of the request.
+    :ivar slack_ms: time left until its deadline, in milliseconds.
+    """
+
+    number: int
+    class_name: str
+    slack_ms: int
+
+
+class GrantItem(NamedTuple):
+    """A slot for a waiting request.
+
+    :ivar number: the entry's number of the request.
+    :ivar endpoint: name of the instance, empty if the request is refused.
+    """
+
+    number: int
+    endpoint: str
+
+
+class DoneItem(NamedTuple):
+    """A slot that is free again.
+
+    :ivar number: the entry's number of the request.
+    :ivar run_ms: how long it ran, in milliseconds.
+    :ivar whole: whether a whole answer came.
+    """
+
+    number: int
+    run_ms: int
+    whole: bool
+
+
+class HoldingItem(NamedTuple):
+    """A request that runs on a slot.
+
+    :ivar number: the entry's number of the request.
+    :ivar class_name: class of the request.
+    :ivar endpoint: name of the instance.
+    :ivar ran_ms: how long it has run, in milliseconds.
+    """
+
+    number: int
+    class_name: str
+    endpoint: str
+    ran_ms: int
+
+
+@message(11)
+class SlotBatch(NamedTuple):
+    """From an entry to a pool's scheduler.
+
+    :ivar sender: the entry.
+    :ivar pool: the pool.
+    :ivar epoch: grows with each change of scheduler that the sender saw;
+        with ``reset`` the scheduler forgets what it knew of the sender.
+    :ivar reset: whether ``wants`` and ``holding`` are complete.
+    :ivar wants: requests that wait.
+    :ivar done: slots that are free again.
+    :ivar cancelled: numbers of requests that no longer wait.
+    :ivar holding: requests that run, only with ``reset``.
+    """
+
+    sender: str
+    pool: str
+    epoch: int
+    reset: bool
+    wants: list[WantItem]
+    done: list[DoneItem]
+    cancelled: list[int]
+    holding: list[HoldingItem]
+
+
+@message(12)
+class GrantBatch(NamedTuple):
+    """From a pool's scheduler to an entry.
+
+    :ivar sender: the entry that schedules.
+    :ivar pool: the pool.
+    :ivar epoch: epoch of the entry's last :class:`SlotBatch`.
+    :ivar grants: the slots.
+    """
+
+    sender: str
+    pool: str
+    epoch: int
+    grants: list[GrantItem]
+
+
+@message(13)
+class EndpointSign(NamedTuple):
+    """An endpoint was seen to leave or to fail.
+
+    :ivar sender: the entry that saw it.
+    :ivar endpoint: name of the instance.
+    :ivar sign: ``leaving``, ``failed`` or ``back``.
+    """
+
+    sender: str
+    endpoint: str
+    sign: str
+
+
+def encode_frame(content: NamedTuple) -> bytes:
+    """Encode a message as a frame."""
+    return bytes((WIRE_VERSION, TAGS[type(content)])) + pack(content)
+
+
+def decode_frame(frame: bytes, limit_bytes: int) -> NamedTuple:
+    """Decode a frame.
+
+    :param frame: the bytes received.
+    :param limit_bytes: frames over this size are refused.
+    :raises FrameError: with the reason, which names a counter.
+    """
+    if len(frame) > limit_bytes:
+        raise FrameError("size")
+    if len(frame) < 2 or frame[0] != WIRE_VERSION:
+        raise FrameError("version")
+    if frame[1] not in MESSAGE_TYPES:
+        raise FrameError("type")
+    return unpack(frame[2:], MESSAGE_TYPES[frame[1]])
--- /dev/null
+++ b/cyclamenscale/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's services and for endpoints."""
--- /dev/null
+++ b/cyclamenscale/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the project."""
--- /dev/null
+++ b/cyclamenscale/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of the domain."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
