--- /dev/null
+++ b/cyclamenscale/standin/state.py
@@ -0,0 +1,430 @@
+"""State of the stand-in store: keys with revisions, leases and history.
+
+It behaves as the published interface of etcd v3 describes: one revision per
+write transaction, an empty store at revision 1, deletions as events, leases
+that delete their keys, watches from a past revision until compaction.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from random import Random
+from threading import Condition
+from typing import NamedTuple
+
+from sortedcontainers import SortedDict
+
+from cyclamenscale.errors import CompactedError, CyclamenError
+from cyclamenscale.util.clock import Clock, monotonic
+
+OPERATIONS_LIMIT = 128
+REQUEST_LIMIT_BYTES = 1572864
+# Lease ids lie above 2**53, so that a client which reads them as floating
+# point numbers fails in tests.
+FIRST_LEASE_ID = 7587848390000000001
+
+
+class RequestRefusedError(CyclamenError):
+    """The store refuses a request; it has no effect.
+
+    :param message: text as the published interface has it.
+    :param code: gRPC status code.
+    :param status: HTTP status code.
+    """
+
+    def __init__(self, message: str, code: int = 3, status: int = 400):
+        """Keep the codes for the gateway's answer."""
+        super().__init__(message)
+        self.message = message
+        self.code = code
+        self.status = status
+
+
+class Stored(NamedTuple):
+    """A key as the store holds it; ``version`` 0 marks a deletion."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int
+
+
+class Check(NamedTuple):
+    """A comparison of a transaction.
+
+    :ivar key: the key.
+    :ivar target: ``MOD``, ``CREATE``, ``VERSION`` or ``VALUE``.
+    :ivar result: ``EQUAL``, ``NOT_EQUAL``, ``GREATER`` or ``LESS``.
+    :ivar expected: what the target is compared with.
+    """
+
+    key: bytes
+    target: str
+    result: str
+    expected: int | bytes
+
+
+class RangeOp(NamedTuple):
+    """Read one key, or with ``range_end`` all from ``key`` up to it."""
+
+    key: bytes
+    range_end: bytes = b""
+    limit: int = 0
+
+
+class PutOp(NamedTuple):
+    """Write a key."""
+
+    key: bytes
+    value: bytes
+    lease: int = 0
+
+
+class DeleteOp(NamedTuple):
+    """Delete one key, or with ``range_end`` all from ``key`` up to it."""
+
+    key: bytes
+    range_end: bytes = b""
+
+
+Op = RangeOp | PutOp | DeleteOp
+
+
+class RangeAnswer(NamedTuple):
+    """Keys that were read; ``count`` includes those over the limit."""
+
+    items: list[Stored]
+    count: int
+
+
+class Lease:
+    """A lease with its deadline on the state's clock and its keys."""
+
+    def __init__(self, ttl_s: int, deadline_s: float):
+        """Start without keys."""
+        self.ttl_s = ttl_s
+        self.deadline_s = deadline_s
+        self.keys: set[bytes] = set()
+
+
+def covers(key: bytes, range_end: bytes, candidate: bytes) -> bool:
+    """Tell whether a range includes a key.
+
+    A ``range_end`` of one zero byte means "all keys from ``key`` on".
+    """
+    if not range_end:
+        return candidate == key
+    if range_end == b"\0":
+        return candidate >= key
+    return key <= candidate < range_end
+
+
+class StoreState:
+    """Keys, leases and bounded history of a store.
+
+    :param clock: measures the leases' time to live.
+    :param history_limit: how many revisions watches can go back.
+    """
+
+    def __init__(self, clock: Clock = monotonic, history_limit: int = 20000):
+        """Start empty, at revision 1."""
+        self.clock = clock
+        self.history_limit = history_limit
+        # Guards all other fields; notified after each write.
+        self.changed = Condition()
+        self.revision = 1
+        self.compacted_revision = 0
+        self.keys: SortedDict[bytes, Stored] = SortedDict()
+        self.leases: dict[int, Lease] = {}
+        self.next_lease_id = FIRST_LEASE_ID
+        self.history: deque[tuple[int, list[Stored]]] = deque()
+
+    def read(self, op: RangeOp) -> tuple[int, RangeAnswer]:
+        """Read keys.
+
+        :returns: the revision of the read, and the keys.
+        """
+        with self.changed:
+            self.expire()
+            return self.revision, self.find(op)
+
+    def transact(
+        self, checks: Iterable[Check], success: list[Op], failure: list[Op]
+    ) -> tuple[bool, int, list]:
+        """Run one branch of a transaction.
+
+        :returns: whether all checks held, the revision afterwards, and one
+            answer for each operation of the branch: a
+            :class:`RangeAnswer`, a count of deleted keys, or None.
+        :raises RequestRefusedError: without effect.
+        """
+        checks = list(checks)
+        with self.changed:
+            self.expire()
+            for part in (checks, success, failure):
+                if len(part) > OPERATIONS_LIMIT:
+                    raise RequestRefusedError(
+                        "etcdserver: too many operations in txn request"
+                    )
+            self.validate(success)
+            self.validate(failure)
+            succeeded = all(self.holds(check) for check in checks)
+            answers, events = [], []
+            for op in success if succeeded else failure:
+                answers.append(self.run(op, events))
+            self.commit(events)
+            return succeeded, self.revision, answers
+
+    def validate(self, ops: list[Op]) -> None:
+        """Refuse a branch before any of its operations has an effect."""
+        written = set()
+        size_bytes = 0
+        for op in ops:
+            if not op.key:
+                raise RequestRefusedError("etcdserver: key is not provided")
+            if not isinstance(op, PutOp):
+                continue
+            if op.key in written:
+                raise RequestRefusedError(
+                    "etcdserver: duplicate key given in txn request"
+                )
+            written.add(op.key)
+            size_bytes += len(op.key) + len(op.value)
+            if op.lease and op.lease not in self.leases:
+                raise lease_not_found()
+        if size_bytes > REQUEST_LIMIT_BYTES:
+            raise RequestRefusedError("etcdserver: request is too large")
+
+    def holds(self, check: Check) -> bool:
+        """Evaluate one comparison."""
+        stored = self.keys.get(check.key, Stored(check.key, b"", 0, 0, 0, 0))
+        if check.target == "VALUE" and not stored.version:
+            # The published interface lets no comparison with the value of
+            # an absent key hold.
+            return False
+        found = {
+            "MOD": stored.mod_revision,
+            "CREATE": stored.create_revision,
+            "VERSION": stored.version,
+            "VALUE": stored.value,
+        }[check.target]
+        return {
+            "EQUAL": found == check.expected,
+            "NOT_EQUAL": found != check.expected,
+            "GREATER": found > check.expected,
+            "LESS": found < check.expected,
+        }[check.result]
+
+    def run(self, op: Op, events: list[Stored]) -> RangeAnswer | int | None:
+        """Run one operation as part of the next revision."""
+        if isinstance(op, RangeOp):
+            return self.find(op)
+        if isinstance(op, PutOp):
+            self.put(op, events)
+            return None
+        doomed = self.find(RangeOp(op.key, op.range_end)).items
+        for stored in doomed:
+            self.delete(stored, events)
+        return len(doomed)
+
+    def find(self, op: RangeOp) -> RangeAnswer:
+        """Return the keys of a range in ascending order."""
+        if not op.range_end:
+            stored = self.keys.get(op.key)
+            return RangeAnswer([stored] if stored else [], int(bool(stored)))
+        last = None if op.range_end == b"\0" else op.range_end
+        names = list(self.keys.irange(op.key, last, (True, False)))
+        chosen = names[: op.limit] if op.limit else names
+        return RangeAnswer([self.keys[name] for name in chosen], len(names))
+
+    def put(self, op: PutOp, events: list[Stored]) -> None:
+        """Write a key at the next revision."""
+        revision = self.revision + 1
+        old = self.keys.get(op.key)
+        if old and old.lease:
+            self.leases[old.lease].keys.discard(op.key)
+        if op.lease:
+            self.leases[op.lease].keys.add(op.key)
+        stored = Stored(
+            op.key,
+            op.value,
+            old.create_revision if old else revision,
+            revision,
+            old.version + 1 if old else 1,
+            op.lease,
+        )
+        self.keys[op.key] = stored
+        events.append(stored)
+
+    def delete(self, stored: Stored, events: list[Stored]) -> None:
+        """Delete a key at the next revision."""
+        del self.keys[stored.key]
+        if stored.lease in self.leases:
+            self.leases[stored.lease].keys.discard(stored.key)
+        events.append(Stored(stored.key, b"", 0, self.revision + 1, 0, 0))
+
+    def commit(self, events: list[Stored]) -> None:
+        """Make the next revision out of events, if there are any."""
+        if not events:
+            return
+        self.revision += 1
+        self.history.append((self.revision, events))
+        if len(self.history) > self.history_limit:
+            self.compact(self.history[0][0])
+        self.changed.notify_all()
+
+    def compact(self, revision: int) -> None:
+        """Forget the history up to and including a revision."""
+        with self.changed:
+            self.compacted_revision = max(self.compacted_revision, revision)
+            while self.history and self.history[0][0] <= revision:
+                self.history.popleft()
+
+    def grant(self, ttl_s: int) -> int:
+        """Make a lease.
+
+        :returns: its id.
+        """
+        if ttl_s <= 0:
+            raise RequestRefusedError("etcdserver: too small lease TTL")
+        with self.changed:
+            self.expire()
+            lease_id = self.next_lease_id
+            self.next_lease_id += 1
+            self.leases[lease_id] = Lease(ttl_s, self.clock() + ttl_s)
+            return lease_id
+
+    def keep_alive(self, lease_id: int) -> int:
+        """Renew a lease.
+
+        :returns: its time to live in seconds, 0 if it does not exist.
+        """
+        with self.changed:
+            self.expire()
+            lease = self.leases.get(lease_id)
+            if lease is None:
+                return 0
+            lease.deadline_s = self.clock() + lease.ttl_s
+            return lease.ttl_s
+
+    def revoke(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
+        with self.changed:
+            self.expire()
+            if lease_id not in self.leases:
+                raise lease_not_found()
+            self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: int) -> None:
+        """Delete a lease and, in one revision, its keys."""
+        lease = self.leases.pop(lease_id)
+        events: list[Stored] = []
+        for key in sorted(lease.keys):
+            self.delete(self.keys[key], events)
+        self.commit(events)
+
+    def expire(self) -> None:
+        """End the leases whose time has run out."""
+        with self.changed:
+            now_s = self.clock()
+            for lease_id, lease in list(self.leases.items()):
+                if lease.deadline_s <= now_s:
+                    self.end_lease(lease_id)
+
+    def expire_leases(self) -> None:
+        """End all leases now, as if their time had run out."""
+        with self.changed:
+            for lease_id in list(self.leases):
+                self.end_lease(lease_id)
+
+    def events_from(
+        self, key: bytes, range_end: bytes, revision: int
+    ) -> tuple[int, list[Stored]]:
+        """Return the events of a range from a revision on.
+
+        :returns: the store's revision, and the events in order.
+        :raises CompactedError: if the history does not reach back so far.
+        """
+        with self.changed:
+            self.expire()
+            if revision <= self.compacted_revision:
+                raise CompactedError(self.compacted_revision + 1)
+            found = []
+            for number, events in reversed(self.history):
+                if number < revision:
+                    break
+                found.append(
+                    [e for e in events if covers(key, range_end, e.key)]
+                )
+            return self.revision, [e for part in reversed(found) for e in part]
+
+
+class StoreFaults:
+    """Faults of a store on command; all off at first.
+
+    :param state: the state whose waiting watches notice a change.
+    :param seed: seed of the random choice of answers to lose.
+    """
+
+    def __init__(self, state: StoreState, seed: int = 1):
+        """Start without faults."""
+        self.state = state
+        self.random = Random(seed)
+        self.down = False
+        self.slow_s = 0.0
+        self.lose_next = 0
+        self.lose_share = 0.0
+        self.mute_watches = False
+
+    def set(
+        self,
+        down: bool | None = None,
+        slow_s: float | None = None,
+        lose_next: int | None = None,
+        lose_share: float | None = None,
+        mute_watches: bool | None = None,
+    ) -> None:
+        """Change the faults that are given.
+
+        :param down: refuse each call before it has an effect.
+        :param slow_s: delay of each call before its effect, in seconds.
+        :param lose_next: lose the answers of so many further writes.
+        :param lose_share: share of writes whose answers are lost, 0 to 1.
+        :param mute_watches: keep watches open but send nothing.
+        """
+        with self.state.changed:
+            if down is not None:
+                self.down = down
+            if slow_s is not None:
+                self.slow_s = slow_s
+            if lose_next is not None:
+                self.lose_next = lose_next
+            if lose_share is not None:
+                self.lose_share = lose_share
+            if mute_watches is not None:
+                self.mute_watches = mute_watches
+            self.state.changed.notify_all()
+
+    def clear(self) -> None:
+        """Turn all faults off."""
+        self.set(False, 0.0, 0, 0.0, False)
+
+    def expire_leases(self) -> None:
+        """End all leases now."""
+        self.state.expire_leases()
+
+    def answer_is_lost(self) -> bool:
+        """Decide whether the answer of a write that took effect is lost."""
+        with self.state.changed:
+            if self.lose_next > 0:
+                self.lose_next -= 1
+                return True
+            return self.random.random() < self.lose_share
+
+
+def lease_not_found() -> RequestRefusedError:
+    """Return the error of a call that names a lease which does not exist."""
+    return RequestRefusedError(
+        "etcdserver: requested lease not found", code=5, status=404
+    )
