Load settings from INI and check every key

Cause: processes need their settings from a file, and a wrong value must be reported before the entry starts. Change: each key carries bounds and a description in its annotation; load() reads the file over defaults.ini and reports all faults in one SettingsErrors. docs/settings.md is generated from the same schema. Adds [supervisor] and, for the fleet side, further [fleet] keys.

--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -1,163 +1,362 @@
 """Settings: typed records, one per section of the INI file.
 
-Construction everywhere takes the whole :class:`Settings` object.
+Construction everywhere takes the whole :class:`Settings` object. Each key
+carries its bounds, unit and description; ``settings_schema`` has the checks.
 """
 
-from typing import NamedTuple
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+from cyclamenscale.errors import SettingsErrors
+from cyclamenscale.settings_schema import (
+    Address,
+    Addresses,
+    Choices,
+    Listen,
+    Name,
+    OptionalAddress,
+    Range,
+    merge,
+    read_ini,
+)
+
+DEFAULTS_PATH = Path(__file__).with_name("defaults.ini")
 
 
 class EntrySettings(NamedTuple):
     """``[entry]``: who and where this entry instance is."""
 
-    name: str = "entry-1"
-    data_centre: str = "dc-1"
-    rack: str = "rack-1"
-    callers_address: str = "127.0.0.1:0"
-    operators_address: str = "127.0.0.1:0"
-    peers_address: str = "127.0.0.1:0"
+    name: Annotated[Name, "unique; a replacement takes over its place"] = (
+        "entry-1"
+    )
+    data_centre: Annotated[Name, "data centre it runs in"] = "dc-1"
+    rack: Annotated[Name, "rack it runs in"] = "rack-1"
+    callers_address: Annotated[Listen, "where the caller server listens"] = (
+        "127.0.0.1:0"
+    )
+    operators_address: Annotated[
+        Listen, "where the operators' server listens"
+    ] = "127.0.0.1:0"
+    peers_address: Annotated[Listen, "where the peer link listens"] = (
+        "127.0.0.1:0"
+    )
 
 
 class PeersSettings(NamedTuple):
     """``[peers]``: links to the other entries."""
 
-    seeds: tuple[str, ...] = ()
-    heartbeat_s: float = 0.5
-    suspect_s: float = 1.5
-    dead_s: float = 3.0
-    frame_limit_bytes: int = 262144
-    log_limit: int = 4096
-    batch_ms: int = 2
+    seeds: Annotated[
+        Addresses, "peer links of other entries, to find the rest by"
+    ] = ()
+    heartbeat_s: Annotated[
+        float, Range(0.05, 10), "time between heartbeats"
+    ] = 0.5
+    suspect_s: Annotated[
+        float, Range(0.1, 30), "silence after which a new connection is made"
+    ] = 1.5
+    dead_s: Annotated[
+        float, Range(0.2, 60), "silence after which a peer counts as failed"
+    ] = 3.0
+    frame_limit_bytes: Annotated[
+        int, Range(1024, 16777216), "larger frames are dropped"
+    ] = 262144
+    log_limit: Annotated[
+        int, Range(16, 1000000), "changes kept to answer requests for deltas"
+    ] = 4096
+    batch_ms: Annotated[
+        int, Range(0, 100), "time over which slot messages are batched"
+    ] = 2
 
 
 class StoreSettings(NamedTuple):
     """``[store]``: the platform's key-value service."""
 
-    adapter: str = "etcd"
-    address: str = "127.0.0.1:2379"
-    call_timeout_s: float = 2.0
-    watch_silence_s: float = 4.0
-    writes_per_s: int = 300
-    reads_per_s: int = 2000
+    adapter: Annotated[Name, "name of the store adapter"] = "etcd"
+    address: Annotated[Address, "address of the service"] = "127.0.0.1:2379"
+    call_timeout_s: Annotated[
+        float, Range(0.1, 30), "time a call may take"
+    ] = 2.0
+    watch_silence_s: Annotated[
+        float, Range(0.5, 60), "silence after which a watch is opened again"
+    ] = 4.0
+    writes_per_s: Annotated[
+        int, Range(1, 10000), "budget of writes for the whole deployment"
+    ] = 300
+    reads_per_s: Annotated[
+        int, Range(1, 100000), "budget of reads for the whole deployment"
+    ] = 2000
 
 
 class PlatformSettings(NamedTuple):
     """``[platform]``: the platform's instance list."""
 
-    adapter: str = "http"
-    address: str = "127.0.0.1:2380"
-    call_timeout_s: float = 2.0
-    poll_s: float = 1.0
+    adapter: Annotated[Name, "name of the platform adapter"] = "http"
+    address: Annotated[Address, "address of the list"] = "127.0.0.1:2380"
+    call_timeout_s: Annotated[
+        float, Range(0.1, 30), "time a call may take"
+    ] = 2.0
+    poll_s: Annotated[
+        float, Range(0.1, 60), "time between reads of the list"
+    ] = 1.0
 
 
 class FreshnessSettings(NamedTuple):
     """``[freshness]``: when an entry may admit work."""
 
-    limit_s: float = 6.0
-    margin_s: float = 1.0
-    accept_within_s: float = 12.0
+    limit_s: Annotated[
+        float,
+        Range(0.5, 60),
+        "age of the newest confirmation up to which work is admitted",
+    ] = 6.0
+    margin_s: Annotated[
+        float,
+        Range(0.1, 30),
+        "added to the limit before a silent member is passed over",
+    ] = 1.0
+    accept_within_s: Annotated[
+        float,
+        Range(1, 120),
+        "time after which the outcome of a change is reported as unknown",
+    ] = 12.0
 
 
 class CallersSettings(NamedTuple):
     """``[callers]``: bounds of the caller server."""
 
-    threads: int = 64
-    queue_limit: int = 512
-    header_limit_bytes: int = 16384
-    body_limit_bytes: int = 4194304
-    idle_s: float = 30.0
+    threads: Annotated[int, Range(1, 512), "requests served at once"] = 64
+    queue_limit: Annotated[
+        int, Range(1, 65536), "connections that wait for a thread"
+    ] = 512
+    header_limit_bytes: Annotated[
+        int, Range(1024, 1048576), "size of a request's headers"
+    ] = 16384
+    body_limit_bytes: Annotated[
+        int, Range(0, 1073741824), "size of a request's body"
+    ] = 4194304
+    idle_s: Annotated[
+        float, Range(1, 600), "idle time after which a connection is closed"
+    ] = 30.0
 
 
 class OperatorsSettings(NamedTuple):
     """``[operators]``: bounds of the operators' server."""
 
-    threads: int = 8
-    body_limit_bytes: int = 65536
+    threads: Annotated[int, Range(1, 64), "requests served at once"] = 8
+    body_limit_bytes: Annotated[
+        int, Range(1024, 1048576), "size of a request's body"
+    ] = 65536
 
 
 class EndpointsSettings(NamedTuple):
     """``[endpoints]``: connections to endpoints."""
 
-    connect_timeout_s: float = 1.0
-    keepalive_idle_s: int = 5
-    keepalive_interval_s: int = 2
-    user_timeout_s: float = 10.0
-    reuse_idle_s: float = 5.0
-    answer_limit_bytes: int = 16777216
+    connect_timeout_s: Annotated[float, Range(0.05, 30), "time to connect"] = (
+        1.0
+    )
+    keepalive_idle_s: Annotated[
+        int, Range(1, 600), "idle time before the first keep-alive probe"
+    ] = 5
+    keepalive_interval_s: Annotated[
+        int, Range(1, 600), "time between keep-alive probes"
+    ] = 2
+    user_timeout_s: Annotated[
+        float, Range(0.5, 600), "time data may stay unacknowledged"
+    ] = 10.0
+    reuse_idle_s: Annotated[
+        float,
+        Range(0, 600),
+        "idle time up to which a connection is used again",
+    ] = 5.0
+    answer_limit_bytes: Annotated[
+        int, Range(1024, 1073741824), "size of a response"
+    ] = 16777216
 
 
 class SchedulingSettings(NamedTuple):
     """``[scheduling]``: how a pool's slots are shared."""
 
-    policy: str = "pool_scheduler"
-    queue_limit: int = 2000
-    long_factor: float = 8.0
-    long_share: float = 0.75
-    starvation_s: float = 30.0
-    fallback_s: float = 1.0
+    policy: Annotated[Name, "name of the policy"] = "pool_scheduler"
+    queue_limit: Annotated[
+        int, Range(1, 1000000), "requests that wait, for each pool"
+    ] = 2000
+    long_factor: Annotated[
+        float,
+        Range(1, 1000),
+        "work above this multiple of the shortest run time is long",
+    ] = 8.0
+    long_share: Annotated[
+        float, Range(0.05, 1), "share of the slots that long work may hold"
+    ] = 0.75
+    starvation_s: Annotated[
+        float,
+        Range(0.1, 3600),
+        "wait after which a long request gets the next slot",
+    ] = 30.0
+    fallback_s: Annotated[
+        float,
+        Range(0.05, 30),
+        "silence of the scheduler before the local view is used",
+    ] = 1.0
 
 
 class LimitsSettings(NamedTuple):
     """``[limits]``: retries and back-off."""
 
-    retry_share: float = 0.1
-    retry_burst: int = 10
-    backoff_first_s: float = 0.05
-    backoff_max_s: float = 5.0
+    retry_share: Annotated[
+        float, Range(0, 1), "retries as a share of the load"
+    ] = 0.1
+    retry_burst: Annotated[
+        int, Range(0, 10000), "retries allowed beyond the share"
+    ] = 10
+    backoff_first_s: Annotated[
+        float, Range(0.001, 60), "longest wait before the first retry"
+    ] = 0.05
+    backoff_max_s: Annotated[
+        float, Range(0.001, 600), "longest wait before any retry"
+    ] = 5.0
 
 
 class OutliersSettings(NamedTuple):
     """``[outliers]``: endpoints that fail or leave."""
 
-    consecutive_failures: int = 3
-    max_excluded_share: float = 0.5
-    exclude_s: float = 10.0
-    slow_start_s: float = 10.0
+    consecutive_failures: Annotated[
+        int, Range(1, 1000), "failures in a row that exclude an endpoint"
+    ] = 3
+    max_excluded_share: Annotated[
+        float, Range(0, 1), "share of a pool excluded for failures at once"
+    ] = 0.5
+    exclude_s: Annotated[
+        float, Range(0.1, 3600), "time of the first exclusion"
+    ] = 10.0
+    slow_start_s: Annotated[
+        float,
+        Range(0, 3600),
+        "time over which a returning endpoint gets its full load",
+    ] = 10.0
 
 
 class ClaimsSettings(NamedTuple):
     """``[claims]``: requests that must not be repeated."""
 
-    writes_per_s: int = 30
-    group_limit: int = 60
-    retention_s: int = 86400
-    outcome_limit_bytes: int = 16384
-    wait_s: float = 5.0
+    writes_per_s: Annotated[
+        int, Range(1, 10000), "store writes for claims, for each entry"
+    ] = 30
+    group_limit: Annotated[
+        int,
+        Range(1, 128),
+        "claims in one transaction; the store takes 128 operations",
+    ] = 60
+    retention_s: Annotated[
+        int,
+        Range(60, 2592000),
+        "time for which an idempotency key is remembered",
+    ] = 86400
+    outcome_limit_bytes: Annotated[
+        int, Range(0, 524288), "size of a recorded outcome"
+    ] = 16384
+    wait_s: Annotated[
+        float, Range(0.1, 60), "time a claim may wait for its transaction"
+    ] = 5.0
 
 
 class FleetSettings(NamedTuple):
     """``[fleet]``: maintenance, moves and placement."""
 
-    objective: str = "wait_and_rollout"
-    control_lease_s: int = 8
-    moves_per_hour: int = 6
+    objective: Annotated[
+        str,
+        Choices("wait_and_rollout", "buffer_and_moves"),
+        "which measures come first",
+    ] = "wait_and_rollout"
+    control_lease_s: Annotated[
+        int,
+        Range(2, 5),
+        "lease of a pool's control; shorter than freshness.limit_s, so that "
+        "no controller decides on targets that are no longer in force",
+    ] = 4
+    tick_s: Annotated[
+        float, Range(0.05, 60), "interval of a controller's decisions"
+    ] = 1.0
+    rollout: Annotated[
+        str,
+        Choices("continuous", "one_at_a_time"),
+        "policy that picks the next planned outages",
+    ] = "continuous"
+    failed_probes_limit: Annotated[
+        int,
+        Range(1, 1000),
+        "failed health probes of one instance that halt a version",
+    ] = 3
+    moves_per_hour: Annotated[
+        int, Range(0, 10000), "instance moves an hour, for each pool"
+    ] = 6
 
 
 class AuditSettings(NamedTuple):
     """``[audit]``: the trail of changes and decisions."""
 
-    retention_s: int = 2592000
-    memory_limit: int = 10000
+    retention_s: Annotated[
+        int,
+        Range(3600, 315360000),
+        "time for which change records are kept in the store",
+    ] = 2592000
+    memory_limit: Annotated[
+        int, Range(10, 1000000), "decisions kept in memory"
+    ] = 10000
 
 
 class MetricsSettings(NamedTuple):
     """``[metrics]``: the statsd server."""
 
-    address: str = ""
-    prefix: str = "cyclamenscale"
+    address: Annotated[
+        OptionalAddress, "where metrics are sent; empty for nowhere"
+    ] = ""
+    prefix: Annotated[Name, "first part of the metrics' names"] = (
+        "cyclamenscale"
+    )
+
+
+class SupervisorSettings(NamedTuple):
+    """``[supervisor]``: restarts of failed components."""
+
+    restarts: Annotated[
+        int, Range(0, 1000), "restarts of a component within the window"
+    ] = 5
+    window_s: Annotated[
+        float, Range(1, 86400), "window over which restarts are counted"
+    ] = 60.0
+    backoff_first_s: Annotated[
+        float, Range(0.001, 60), "longest wait before the first restart"
+    ] = 0.2
+    backoff_max_s: Annotated[
+        float, Range(0.001, 600), "longest wait before any restart"
+    ] = 10.0
+    stop_s: Annotated[
+        float, Range(0.1, 600), "time for all components to stop"
+    ] = 10.0
 
 
 class ShutdownSettings(NamedTuple):
     """``[shutdown]``: a graceful shutdown."""
 
-    unready_s: float = 2.0
-    drain_s: float = 600.0
+    unready_s: Annotated[
+        float,
+        Range(0, 600),
+        "time from the unready answer to the last admission",
+    ] = 2.0
+    drain_s: Annotated[
+        float, Range(0, 86400), "time for requests in flight to complete"
+    ] = 600.0
 
 
 class LogSettings(NamedTuple):
     """``[log]``: lines on changes of state."""
 
-    level: str = "INFO"
-    json: bool = False
+    level: Annotated[
+        str,
+        Choices("DEBUG", "INFO", "WARNING", "ERROR"),
+        "lowest level that is written",
+    ] = "INFO"
+    json: Annotated[bool, "one JSON object a line instead of text"] = False
 
 
 class Settings(NamedTuple):
@@ -178,5 +377,25 @@
     fleet: FleetSettings = FleetSettings()
     audit: AuditSettings = AuditSettings()
     metrics: MetricsSettings = MetricsSettings()
+    supervisor: SupervisorSettings = SupervisorSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     log: LogSettings = LogSettings()
+
+
+def load(path: str | Path | None = None) -> Settings:
+    """Read the shipped defaults and a settings file over them.
+
+    :param path: an INI file, ``None`` for the defaults alone.
+    :returns: settings of which every key has been checked.
+    :raises SettingsErrors: with all faults of the file.
+    """
+    settings = Settings()
+    for source in (DEFAULTS_PATH, path):
+        if source is None:
+            continue
+        texts, faults = read_ini(Path(source))
+        if not faults:
+            settings, faults = merge(Settings, settings, texts, str(source))
+        if faults:
+            raise SettingsErrors(f"{source}: {len(faults)} faults", faults)
+    return settings
--- /dev/null
+++ b/cyclamenscale/settings_schema.py
@@ -0,0 +1,433 @@
+"""Schema of the settings, and the checks that follow from it.
+
+A section is a ``NamedTuple`` whose fields are
+``name: Annotated[type, bounds, "description"] = default``; the unit follows
+from the end of the name. Parsing, the generated page
+``docs/settings.md`` and the check of the shipped ``defaults.ini`` all read
+the schema from there.
+"""
+
+import math
+import re
+from collections.abc import Callable
+from configparser import ConfigParser
+from configparser import Error as ConfigFileError
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, get_origin, get_type_hints
+
+from cyclamenscale.errors import SettingError
+
+BOOLEANS = {
+    "yes": True,
+    "true": True,
+    "on": True,
+    "1": True,
+    "no": False,
+    "false": False,
+    "off": False,
+    "0": False,
+}
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+HOST_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9.-]{0,252}[A-Za-z0-9])?")
+
+
+class Range(NamedTuple):
+    """Bounds of a number, both allowed.
+
+    :ivar low: lowest number.
+    :ivar high: highest number.
+    """
+
+    low: float
+    high: float
+
+
+class Choices(tuple):
+    """Texts of which one is allowed."""
+
+    def __new__(cls, *texts: str):
+        """Take the texts as arguments."""
+        return super().__new__(cls, texts)
+
+
+class Rule(NamedTuple):
+    """A check over several keys.
+
+    :ivar section: section of the key that is reported.
+    :ivar key: key that is reported.
+    :ivar others: the other keys of the rule, as ``(section, key)``.
+    :ivar allowed: the rule in words.
+    :ivar holds: whether the settings follow the rule.
+    """
+
+    section: str
+    key: str
+    others: tuple[tuple[str, str], ...]
+    allowed: str
+    holds: Callable[[Any], bool]
+
+
+#: Checks over several keys.
+RULES = (
+    Rule(
+        "peers",
+        "suspect_s",
+        (("peers", "heartbeat_s"),),
+        "more than heartbeat_s",
+        lambda s: s.peers.suspect_s > s.peers.heartbeat_s,
+    ),
+    Rule(
+        "peers",
+        "dead_s",
+        (("peers", "suspect_s"),),
+        "more than suspect_s",
+        lambda s: s.peers.dead_s > s.peers.suspect_s,
+    ),
+    Rule(
+        "freshness",
+        "limit_s",
+        (("peers", "dead_s"),),
+        "at least peers.dead_s",
+        lambda s: s.freshness.limit_s >= s.peers.dead_s,
+    ),
+    Rule(
+        "freshness",
+        "accept_within_s",
+        (
+            ("freshness", "limit_s"),
+            ("freshness", "margin_s"),
+        ),
+        "more than limit_s + margin_s",
+        lambda s: (
+            s.freshness.accept_within_s
+            > s.freshness.limit_s + s.freshness.margin_s
+        ),
+    ),
+    Rule(
+        "store",
+        "call_timeout_s",
+        (("freshness", "limit_s"),),
+        "less than freshness.limit_s",
+        lambda s: s.store.call_timeout_s < s.freshness.limit_s,
+    ),
+    Rule(
+        "store",
+        "watch_silence_s",
+        (("freshness", "limit_s"),),
+        "less than freshness.limit_s",
+        lambda s: s.store.watch_silence_s < s.freshness.limit_s,
+    ),
+    Rule(
+        "claims",
+        "writes_per_s",
+        (("store", "writes_per_s"),),
+        "at most store.writes_per_s",
+        lambda s: s.claims.writes_per_s <= s.store.writes_per_s,
+    ),
+    Rule(
+        "limits",
+        "backoff_max_s",
+        (("limits", "backoff_first_s"),),
+        "at least backoff_first_s",
+        lambda s: s.limits.backoff_max_s >= s.limits.backoff_first_s,
+    ),
+    Rule(
+        "supervisor",
+        "backoff_max_s",
+        (("supervisor", "backoff_first_s"),),
+        "at least backoff_first_s",
+        lambda s: s.supervisor.backoff_max_s >= s.supervisor.backoff_first_s,
+    ),
+)
+
+
+def is_address(text: str, lowest_port: int) -> bool:
+    """Return whether a text is ``HOST:PORT`` with an IP address or name."""
+    host, _, port = text.rpartition(":")
+    if not re.fullmatch("[0-9]{1,5}", port):
+        return False
+    if not lowest_port <= int(port) <= 65535:
+        return False
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        return False
+    try:
+        ip_address(host)
+    except ValueError:
+        # Digits and dots alone are a mistyped IP address, not a name.
+        return bool(HOST_NAME.fullmatch(host)) and not re.fullmatch(
+            "[0-9.]+", host
+        )
+    return True
+
+
+class Form(NamedTuple):
+    """A form of text.
+
+    :ivar allowed: the form in words.
+    :ivar matches: whether a text has the form.
+    """
+
+    allowed: str
+    matches: Callable[[str], bool]
+
+
+Name = Annotated[
+    str,
+    Form(
+        "1 to 63 letters, digits, '.', '_' or '-', the first one a letter "
+        "or digit",
+        lambda text: bool(NAME.fullmatch(text)),
+    ),
+]
+Listen = Annotated[
+    str,
+    Form(
+        "HOST:PORT, port 0 for one chosen by the system",
+        lambda text: is_address(text, 0),
+    ),
+]
+TARGET = Form("HOST:PORT", lambda text: is_address(text, 1))
+Address = Annotated[str, TARGET]
+Addresses = Annotated[tuple[str, ...], TARGET]
+OptionalAddress = Annotated[
+    str,
+    Form("HOST:PORT or empty", lambda text: not text or is_address(text, 1)),
+]
+ANY_TEXT = Form("any text", lambda text: True)
+
+#: Unit of a key by the end of its name; the first match counts.
+UNITS = (
+    ("_per_s", "1/s"),
+    ("_per_hour", "1/h"),
+    ("_ms", "ms"),
+    ("_s", "s"),
+    ("_bytes", "bytes"),
+)
+
+
+class Key(NamedTuple):
+    """What is allowed for one key.
+
+    :ivar kind: type of the value.
+    :ivar about: one line that describes the key.
+    :ivar unit: unit of a number, empty for none.
+    :ivar bounds: bounds of a number.
+    :ivar choices: texts allowed, empty for any.
+    :ivar form: form of a text, or of each text of a list.
+    """
+
+    kind: Any
+    about: str = ""
+    unit: str = ""
+    bounds: Range = Range(-math.inf, math.inf)
+    choices: Choices = Choices()
+    form: Form = ANY_TEXT
+
+
+def describe(name: str, hint: Any) -> Key:
+    """Read what is allowed for a key from its annotation."""
+    unit = next((unit for end, unit in UNITS if name.endswith(end)), "")
+    key = Key(hint, unit=unit)
+    for part in getattr(hint, "__metadata__", ()):
+        if isinstance(part, str):
+            key = key._replace(about=part)
+        elif isinstance(part, Range):
+            key = key._replace(bounds=part)
+        elif isinstance(part, Choices):
+            key = key._replace(choices=part)
+        elif isinstance(part, Form):
+            key = key._replace(form=part)
+    return key._replace(kind=getattr(hint, "__origin__", hint))
+
+
+def schema(section: type) -> dict[str, Key]:
+    """Return the :class:`Key` of each key of a section."""
+    hints = get_type_hints(section, include_extras=True)
+    return {name: describe(name, hints[name]) for name in section._fields}
+
+
+def sections(settings: type) -> dict[str, type]:
+    """Return the type of each section of the settings."""
+    return get_type_hints(settings)
+
+
+def allowed_words(key: Key) -> str:
+    """Describe in words what a key may hold."""
+    if key.kind is bool:
+        return "yes or no"
+    if key.choices:
+        return "one of " + ", ".join(key.choices)
+    if key.kind in (int, float):
+        word = "a whole number" if key.kind is int else "a number"
+        low, high = key.bounds
+        return f"{word} from {low:g} to {high:.10g} {key.unit}".rstrip()
+    if get_origin(key.kind) is tuple:
+        return f"a list, separated by commas, of {key.form.allowed}"
+    return key.form.allowed
+
+
+def parse(text: str, key: Key) -> Any:
+    """Parse the text of one key.
+
+    :param text: the text as it stands in the file.
+    :param key: what is allowed.
+    :returns: the value, or ``None`` if it is not allowed.
+    """
+    if key.kind is bool:
+        return BOOLEANS.get(text.lower())
+    if key.kind in (int, float):
+        try:
+            number = key.kind(text)
+        except ValueError:
+            return None
+        low, high = key.bounds
+        # A NaN fails both comparisons.
+        inside = low <= number <= high and math.isfinite(number)
+        return number if inside else None
+    if get_origin(key.kind) is tuple:
+        parts = tuple(part.strip() for part in text.split(",") if part.strip())
+        return parts if all(map(key.form.matches, parts)) else None
+    if key.choices:
+        return text if text in key.choices else None
+    return text if key.form.matches(text) else None
+
+
+def read_ini(path: Path) -> tuple[dict[str, dict[str, str]], list]:
+    """Read an INI file without interpolation.
+
+    :returns: texts by section and key, and the faults of the file's form.
+    """
+    # A section named DEFAULT would otherwise apply to all the others.
+    parser = ConfigParser(interpolation=None, default_section="\0")
+    parser.optionxform = str
+    try:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except OSError as error:
+        fault = SettingError(
+            str(path), "-", "-", error.strerror, "a file that can be read"
+        )
+        return {}, [fault]
+    except (ConfigFileError, UnicodeDecodeError) as error:
+        section = getattr(error, "section", None) or "-"
+        option = getattr(error, "option", None) or "-"
+        found = " ".join(str(error).split())
+        return {}, [
+            SettingError(
+                str(path),
+                section,
+                option,
+                found,
+                "an INI file in UTF-8 with each section and key once",
+            )
+        ]
+    return {name: dict(parser[name]) for name in parser.sections()}, []
+
+
+def merge(
+    settings: type,
+    base: Any,
+    texts: dict[str, dict[str, str]],
+    file: str,
+    rules: tuple[Rule, ...] = RULES,
+) -> tuple[Any, list[SettingError]]:
+    """Check texts against the schema and put them over given settings.
+
+    :param settings: the type of the whole settings.
+    :param base: settings that hold where the texts say nothing.
+    :param texts: texts by section and key.
+    :param file: name of their source, for the faults.
+    :param rules: checks over several keys; a rule is skipped if one of its
+        keys is itself faulty.
+    :returns: the settings, meaningful only without faults, and all faults.
+    """
+    known = sections(settings)
+    faults = []
+    changed: dict[str, dict[str, Any]] = {}
+    for section, keys in texts.items():
+        if section not in known:
+            allowed = "one of the sections " + ", ".join(known)
+            faults.append(SettingError(file, section, "-", section, allowed))
+            continue
+        described = schema(known[section])
+        for name, text in keys.items():
+            if name not in described:
+                allowed = "one of the keys " + ", ".join(described)
+                faults.append(SettingError(file, section, name, name, allowed))
+                continue
+            value = parse(text, described[name])
+            if value is None:
+                allowed = allowed_words(described[name])
+                faults.append(SettingError(file, section, name, text, allowed))
+            else:
+                changed.setdefault(section, {})[name] = value
+    merged = base._replace(
+        **{
+            section: getattr(base, section)._replace(**values)
+            for section, values in changed.items()
+        }
+    )
+    bad = {(fault.section, fault.key) for fault in faults}
+    for rule in rules:
+        if bad & {(rule.section, rule.key), *rule.others}:
+            continue
+        if not rule.holds(merged):
+            found = getattr(getattr(merged, rule.section), rule.key)
+            faults.append(
+                SettingError(file, rule.section, rule.key, found, rule.allowed)
+            )
+    return merged, faults
+
+
+def show_value(value: Any) -> str:
+    """Write a value as it stands in an INI file."""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, tuple):
+        return ", ".join(value)
+    return str(value)
+
+
+def render_ini(settings: Any) -> str:
+    """Write settings as an INI file."""
+    parts = []
+    for name, section in settings._asdict().items():
+        lines = [f"[{name}]"]
+        for key, value in section._asdict().items():
+            lines.append(f"{key} = {show_value(value)}".rstrip())
+        parts.append("\n".join(lines) + "\n")
+    return "\n".join(parts)
+
+
+def render_docs(settings: type) -> str:
+    """Write the page ``docs/settings.md``."""
+    lines = [
+        "# Settings",
+        "",
+        "Generated by `cyclamenscale settings docs`; do not edit.",
+        "",
+        "A settings file is an INI file in UTF-8. Keys that it leaves out "
+        "keep the default. `cyclamenscale settings check FILE` reports all "
+        "faults of a file at once; unknown sections and keys are faults.",
+    ]
+    for name, section in sections(settings).items():
+        about = (section.__doc__ or "").split(": ", 1)[-1]
+        about = about.rstrip(".")
+        lines += ["", f"## [{name}]", "", about[:1].upper() + about[1:] + "."]
+        lines += ["", "| key | default | unit | allowed | meaning |"]
+        lines.append("|---|---|---|---|---|")
+        for field, key in schema(section).items():
+            default = show_value(section._field_defaults[field])
+            default = f"`{default}`" if default else "empty"
+            words = allowed_words(key._replace(unit=""))
+            lines.append(
+                f"| `{field}` | {default} | {key.unit} | {words} "
+                f"| {key.about} |"
+            )
+    lines += ["", "## Rules over several keys", ""]
+    for rule in RULES:
+        lines.append(f"- `{rule.section}.{rule.key}`: {rule.allowed}.")
+    return "\n".join(lines) + "\n"
