Add the supervision tree

Cause: a failed component must not end the entry, and an entry must not run on without one of its components. Change: supervisors run components on a thread pool, restart them with exponential back-off and jitter, and escalate to the parent or end the process. errors.py gains ComponentReturnedError and the additions of the other modules made meanwhile. Conclusion: a component that ignores its stop is reported and never started a second time beside itself.

--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -234,6 +234,20 @@
         self.reason = reason
 
 
+class StaleFenceError(CyclamenError):
+    """An action carried an older fencing token than one seen before.
+
+    :param pool: pool whose control has moved on.
+    :param fence: the token that was refused.
+    """
+
+    def __init__(self, pool: str, fence: int):
+        """Keep the token."""
+        super().__init__(f"fencing token {fence} of pool {pool} is stale")
+        self.pool = pool
+        self.fence = fence
+
+
 class RequestError(CyclamenError):
     """Base of the ends of a caller's request other than a whole answer.
 
@@ -300,6 +314,23 @@
         self.key = key
 
 
+class KeyPendingError(OutcomeNotKnownError):
+    """An idempotency key is in use, or its outcome is unknown.
+
+    :param key: the idempotency key.
+    :param state: ``claimed``, ``unknown`` or ``answer_not_kept``.
+    """
+
+    def __init__(self, key: str, state: str):
+        """Keep the key and the state of its claim."""
+        super().__init__(
+            "key_pending",
+            f"Idempotency-Key {key!r} has no answer to give, state: {state}",
+        )
+        self.key = key
+        self.state = state
+
+
 class EndpointError(CyclamenError):
     """A try at an endpoint ended without a whole answer.
 
@@ -355,3 +386,15 @@
         )
         self.component = component
         self.restarts = restarts
+
+
+class ComponentReturnedError(CyclamenError):
+    """A component ended before it was told to stop.
+
+    :param component: name of the component.
+    """
+
+    def __init__(self, component: str):
+        """Keep the name of the component."""
+        super().__init__(f"component {component} ended without being stopped")
+        self.component = component
--- /dev/null
+++ b/cyclamenscale/supervisor.py
@@ -0,0 +1,314 @@
+"""Supervision tree: components in threads, restarted when they fail.
+
+A component is a function that runs until its stop event is set. One that
+raises, or returns before that, has failed and is started again after a
+back-off. When it fails more often than the settings allow, its supervisor
+stops the components it has and fails itself: a child supervisor is a
+component of its parent, and at the root :meth:`Supervisor.wait` raises
+:class:`ComponentFailedError`.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor, wait
+from random import Random
+from threading import Event, Lock
+from typing import NamedTuple
+
+from loguru import logger
+
+from cyclamenscale.errors import ComponentFailedError, ComponentReturnedError
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import Clock, monotonic
+
+# Threads are made on demand; the bound only stops a runaway of components.
+COMPONENTS_LIMIT = 256
+
+Run = Callable[[Event], None]
+
+
+class Verdict(NamedTuple):
+    """What follows from a failure.
+
+    :ivar delay_s: wait before the restart, ``None`` to escalate.
+    :ivar restarts: restarts within the window, this one included.
+    """
+
+    delay_s: float | None
+    restarts: int
+
+
+class RestartPolicy:
+    """Decides on the restarts of one component; free of threads.
+
+    :param settings: ``[supervisor]`` has the limit, window and back-off.
+    :param clock: monotonic seconds.
+    :param rng: source of the jitter.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock, rng: Random):
+        """Start without failures."""
+        self.settings = settings.supervisor
+        self.clock = clock
+        self.rng = rng
+        self.failures: deque[float] = deque()
+
+    def forget_old(self) -> None:
+        """Drop the failures that have left the window."""
+        horizon = self.clock() - self.settings.window_s
+        while self.failures and self.failures[0] <= horizon:
+            self.failures.popleft()
+
+    @property
+    def stable(self) -> bool:
+        """Return whether there was no failure within the window."""
+        self.forget_old()
+        return not self.failures
+
+    def failed(self) -> Verdict:
+        """Note a failure and decide.
+
+        The back-off doubles with each failure in the window. The wait is
+        drawn from its upper half: full jitter would allow an immediate
+        restart, which uses up the restarts within milliseconds.
+        """
+        self.forget_old()
+        self.failures.append(self.clock())
+        count = len(self.failures)
+        if count > self.settings.restarts:
+            return Verdict(None, count - 1)
+        longest = min(
+            self.settings.backoff_max_s,
+            self.settings.backoff_first_s * 2 ** min(count - 1, 60),
+        )
+        return Verdict(longest * self.rng.uniform(0.5, 1.0), count)
+
+
+class Component:
+    """A component with the state of its restarts.
+
+    :ivar state: ``idle``, ``running``, ``waiting``, ``stopped`` or
+        ``failed``; written by the component's thread only.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        run: Run,
+        policy: RestartPolicy,
+        wake: Event | None = None,
+    ):
+        """Keep the parts; ``wake`` is set along with the stop event."""
+        self.name = name
+        self.run = run
+        self.policy = policy
+        self.wake = wake
+        self.stop = Event()
+        self.future: Future | None = None
+        self.state = "idle"
+        # Whether the current run of failures has been logged.
+        self.reported = False
+
+
+class Supervisor:
+    """Starts, restarts and stops components.
+
+    :param settings: the whole settings.
+    :param metrics: counters ``supervisor.failures``, ``.restarts``,
+        ``.escalations`` and ``.stuck``.
+    :param name: name in logs and, as a child, in its parent.
+    :param clock: monotonic seconds.
+    :param rng: source of the back-off's jitter.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        metrics: Metrics,
+        name: str,
+        clock: Clock = monotonic,
+        rng: Random | None = None,
+    ):
+        """Start without components."""
+        self.settings = settings
+        self.metrics = metrics
+        self.name = name
+        self.clock = clock
+        self.rng = rng or Random()
+        # Guards components, pool, failure, and the policies of components.
+        self.lock = Lock()
+        self.components: list[Component] = []
+        self.pool: ThreadPoolExecutor | None = None
+        self.failure: ComponentFailedError | None = None
+        self.ended = Event()
+
+    def add(self, name: str, run: Run, wake: Event | None = None) -> None:
+        """Add a component; it starts at once if the supervisor has.
+
+        :param name: name in logs and in the status.
+        :param run: runs until the event it is given is set.
+        :param wake: also set to stop it, for a component that waits on an
+            event of its own.
+        """
+        policy = RestartPolicy(self.settings, self.clock, self.rng)
+        component = Component(name, run, policy, wake)
+        with self.lock:
+            self.components.append(component)
+            if self.pool:
+                self.launch(component)
+
+    def add_child(self, child: "Supervisor") -> None:
+        """Add a supervisor as a component."""
+        self.add(child.name, child.run, child.ended)
+
+    def launch(self, component: Component) -> None:
+        """Give a component its thread; the lock is held."""
+        component.stop = Event()
+        component.state = "running"
+        component.future = self.pool.submit(self.keep_running, component)
+
+    def start(self) -> None:
+        """Start all components in the order in which they were added.
+
+        :raises ComponentFailedError: if one still runs since a stop that
+            timed out.
+        """
+        with self.lock:
+            if self.pool:
+                return
+            for component in self.components:
+                if component.future and not component.future.done():
+                    # A second copy would share sockets with the first.
+                    raise ComponentFailedError(component.name, 0)
+            self.ended.clear()
+            self.failure = None
+            self.pool = ThreadPoolExecutor(COMPONENTS_LIMIT, self.name)
+            for component in self.components:
+                self.launch(component)
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Wait until the supervisor was stopped or has failed.
+
+        :returns: whether it has ended within the time.
+        :raises ComponentFailedError: if a component failed too often.
+        """
+        ended = self.ended.wait(timeout_s)
+        if self.failure:
+            raise self.failure
+        return ended
+
+    def stop(self, timeout_s: float | None = None) -> list[str]:
+        """Stop the components in reverse order, each after the other.
+
+        :param timeout_s: time for all of them, by default
+            ``[supervisor] stop_s``; afterwards the rest is told to stop
+            without waiting.
+        :returns: names of the components that still run.
+        """
+        if timeout_s is None:
+            timeout_s = self.settings.supervisor.stop_s
+        until = self.clock() + timeout_s
+        stuck = []
+        with self.lock:
+            components, pool = list(self.components), self.pool
+            self.pool = None
+        for component in reversed(components):
+            component.stop.set()
+            if component.wake:
+                component.wake.set()
+            if component.future is None:
+                continue
+            left_s = max(0.0, until - self.clock())
+            if wait([component.future], left_s).not_done:
+                stuck.append(component.name)
+                self.metrics.incr("supervisor.stuck")
+        if stuck:
+            names = ", ".join(stuck)
+            logger.warning("{}: still running: {}", self.name, names)
+        if pool:
+            pool.shutdown(wait=False)
+        self.ended.set()
+        return stuck
+
+    def run(self, stop: Event) -> None:
+        """Run as a component of a parent.
+
+        :raises ComponentFailedError: if a component failed too often.
+        """
+        self.start()
+        # The parent sets ``stop`` before ``ended``, which start() clears.
+        if not stop.is_set():
+            self.ended.wait()
+        self.stop()
+        if self.failure:
+            raise self.failure
+
+    def states(self) -> dict[str, str]:
+        """Return the state of each component, for the status.
+
+        A component that failed within the window is ``unstable`` while it
+        runs.
+        """
+        found = {}
+        for component in list(self.components):
+            state = component.state
+            self.check_recovered(component)
+            if state == "running" and component.reported:
+                state = "unstable"
+            found[component.name] = state
+        return found
+
+    def keep_running(self, component: Component) -> None:
+        """Run a component until it is stopped or fails too often."""
+        while not component.stop.is_set():
+            try:
+                component.state = "running"
+                component.run(component.stop)
+                error = ComponentReturnedError(component.name)
+            except BaseException as raised:
+                # SystemExit too: it would end this thread unnoticed.
+                error = raised
+            if component.stop.is_set():
+                if not isinstance(error, ComponentReturnedError):
+                    self.metrics.incr("supervisor.failures_at_stop")
+                break
+            verdict = self.failed(component, error)
+            if verdict.delay_s is None:
+                component.state = "failed"
+                return
+            component.state = "waiting"
+            component.stop.wait(verdict.delay_s)
+        component.state = "stopped"
+
+    def failed(self, component: Component, error: BaseException) -> Verdict:
+        """Count a failure, and log it if the component was stable before."""
+        self.metrics.incr("supervisor.failures")
+        self.check_recovered(component)
+        with self.lock:
+            verdict = component.policy.failed()
+        where = f"{self.name}/{component.name}"
+        if not component.reported:
+            component.reported = True
+            logger.opt(exception=error).warning("{} failed", where)
+        if verdict.delay_s is not None:
+            self.metrics.incr("supervisor.restarts")
+            return verdict
+        self.metrics.incr("supervisor.escalations")
+        logger.opt(exception=error).error(
+            "{} failed after {} restarts", where, verdict.restarts
+        )
+        with self.lock:
+            if self.failure is None:
+                self.failure = ComponentFailedError(where, verdict.restarts)
+                self.failure.__cause__ = error
+        self.ended.set()
+        return verdict
+
+    def check_recovered(self, component: Component) -> None:
+        """Log that a component had no failure within the window."""
+        with self.lock:
+            if not component.reported or not component.policy.stable:
+                return
+            component.reported = False
+        logger.info("{}/{} is stable again", self.name, component.name)
