Share a pool's slots through one scheduler

Cause: entries that choose endpoints on their own view queue short work behind long work and do not know each other's load.

Change: one entry per pool, chosen by rendezvous hashing, orders waiting requests by class target and slack and grants slots. Batches carry epochs and sequence numbers; a gap or a new scheduler leads to a reset, silence to a fallback on the own view. Messages gain sequence, exclude and retry_after_ms, all with defaults; the file also holds additions of the drain and membership work (confirms, InProgress*) made in the same tree.

--- a/cyclamenscale/messages.py
+++ b/cyclamenscale/messages.py
@@ -66,6 +66,8 @@
     :ivar sequence: number of the heartbeat it answers.
     :ivar applied: highest configuration revision it has applied.
     :ivar members_revision: revision of its member list.
+    :ivar confirms: false while the sender is recovering from a restart; the
+        answer then shows only that the link works.
     """
 
     sender: str
@@ -73,6 +75,7 @@
     sequence: int
     applied: int
     members_revision: int
+    confirms: bool = True
 
 
 @message(3)
@@ -201,11 +204,13 @@
     :ivar number: the entry's number of the request.
     :ivar class_name: class of the request.
     :ivar slack_ms: time left until its deadline, in milliseconds.
+    :ivar exclude: endpoints that must not run it.
     """
 
     number: int
     class_name: str
     slack_ms: int
+    exclude: tuple[str, ...] = ()
 
 
 class GrantItem(NamedTuple):
@@ -213,10 +218,12 @@
 
     :ivar number: the entry's number of the request.
     :ivar endpoint: name of the instance, empty if the request is refused.
+    :ivar retry_after_ms: with a refusal, when a slot is expected.
     """
 
     number: int
     endpoint: str
+    retry_after_ms: int = 0
 
 
 class DoneItem(NamedTuple):
@@ -260,6 +267,8 @@
     :ivar done: slots that are free again.
     :ivar cancelled: numbers of requests that no longer wait.
     :ivar holding: requests that run, only with ``reset``.
+    :ivar sequence: grows by one with each batch of an epoch; a gap makes
+        the scheduler ask for a reset.
     """
 
     sender: str
@@ -270,6 +279,7 @@
     done: list[DoneItem]
     cancelled: list[int]
     holding: list[HoldingItem]
+    sequence: int = 0
 
 
 @message(12)
@@ -278,14 +288,18 @@
 
     :ivar sender: the entry that schedules.
     :ivar pool: the pool.
-    :ivar epoch: epoch of the entry's last :class:`SlotBatch`.
+    :ivar epoch: epoch of the entry's last :class:`SlotBatch`, 0 to ask for
+        a reset.
     :ivar grants: the slots.
+    :ivar sequence: grows by one with each batch of an epoch; a gap makes
+        the entry send a reset.
     """
 
     sender: str
     pool: str
     epoch: int
     grants: list[GrantItem]
+    sequence: int = 0
 
 
 @message(13)
@@ -302,6 +316,36 @@
     sign: str
 
 
+@message(14)
+class InProgressRequest(NamedTuple):
+    """Ask an entry how many requests it has in progress at an endpoint.
+
+    :ivar sender: entry that asks.
+    :ivar endpoint: name of the instance.
+    :ivar token: number of the question, echoed by the answer.
+    """
+
+    sender: str
+    endpoint: str
+    token: int
+
+
+@message(15)
+class InProgressReply(NamedTuple):
+    """Answer to :class:`InProgressRequest`.
+
+    :ivar sender: answering entry.
+    :ivar endpoint: name of the instance.
+    :ivar token: number of the question.
+    :ivar count: requests in progress.
+    """
+
+    sender: str
+    endpoint: str
+    token: int
+    count: int
+
+
 def encode_frame(content: NamedTuple) -> bytes:
     """Encode a message as a frame."""
     return bytes((WIRE_VERSION, TAGS[type(content)])) + pack(content)
--- /dev/null
+++ b/cyclamenscale/queues.py
@@ -0,0 +1,118 @@
+"""Waiting and running requests of one pool, as its scheduler keeps them."""
+
+from collections.abc import Iterator
+from heapq import heapify, heappop, heappush
+from itertools import islice
+from typing import NamedTuple
+
+from cyclamenscale.messages import WantItem
+
+
+class Key(NamedTuple):
+    """Identity of a request at a scheduler."""
+
+    entry: str
+    number: int
+
+
+class Waiting:
+    """A request without a slot."""
+
+    __slots__ = ("key", "class_name", "deadline_s", "since_s", "exclude")
+
+    def __init__(self, key: Key, want: WantItem, now_s: float):
+        """Note when it came and when it must finish."""
+        self.key = key
+        self.class_name = want.class_name
+        self.deadline_s = now_s + want.slack_ms / 1000
+        self.since_s = now_s
+        self.exclude = want.exclude
+
+
+class Running:
+    """A request on a slot."""
+
+    __slots__ = ("key", "class_name", "spot", "since_s", "long")
+
+    def __init__(
+        self, key: Key, class_name: str, spot: "Spot", since_s: float
+    ):
+        """Note where it runs and since when."""
+        self.key = key
+        self.class_name = class_name
+        self.spot = spot
+        self.since_s = since_s
+        self.long = False
+
+
+class Spot:
+    """Slots of one endpoint."""
+
+    __slots__ = ("name", "data_centre", "allowed", "used", "long_used")
+
+    def __init__(self, name: str):
+        """Start without any slot."""
+        self.name = name
+        self.data_centre = ""
+        self.allowed = 0
+        self.used = 0
+        self.long_used = 0
+
+    @property
+    def free(self) -> int:
+        """Return the number of free slots, negative after a reduction."""
+        return self.allowed - self.used
+
+
+class ClassQueue:
+    """Waiting requests of one class, by deadline.
+
+    Cancelled requests stay in the heap until they surface or make up more
+    than half of it, so that a cancellation takes constant amortized time.
+    """
+
+    def __init__(self, name: str, target_ms: float):
+        """Start empty."""
+        self.name = name
+        self.target_ms = target_ms
+        self.live: dict[Key, Waiting] = {}
+        self.heap: list[tuple[float, int, Waiting]] = []
+        self.pushed = 0
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a request."""
+        self.pushed += 1
+        self.live[waiting.key] = waiting
+        heappush(self.heap, (waiting.deadline_s, self.pushed, waiting))
+
+    def remove(self, key: Key) -> Waiting | None:
+        """Remove a request, wherever it is in the queue."""
+        waiting = self.live.pop(key, None)
+        if len(self.heap) > 2 * len(self.live) + 32:
+            self.heap = [item for item in self.heap if self.has(item[2])]
+            heapify(self.heap)
+        return waiting
+
+    def has(self, waiting: Waiting) -> bool:
+        """Return whether this very request still waits."""
+        return self.live.get(waiting.key) is waiting
+
+    def head(self) -> Waiting | None:
+        """Return the request with the least slack."""
+        while self.heap and not self.has(self.heap[0][2]):
+            heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+    def oldest(self) -> Waiting | None:
+        """Return the request that came first."""
+        return next(iter(self.live.values()), None)
+
+    def first(self, count: int) -> list[Waiting]:
+        """Return the requests with the least slack, by deadline."""
+        return list(islice(self.ordered(), count))
+
+    def ordered(self) -> Iterator[Waiting]:
+        """Return all requests by deadline."""
+        for _, _, waiting in sorted(self.heap, key=lambda item: item[:2]):
+            if self.has(waiting):
+                yield waiting
--- /dev/null
+++ b/cyclamenscale/scheduling.py
@@ -0,0 +1,536 @@
+"""Slots of one pool: who gets the next one, and where.
+
+Requests are ordered by their class's target, shorter first, and within a
+class by slack. Long work, and requests that run far longer than their class
+usually does, may hold only a share of the slots of an endpoint and of the
+pool. A long request that has waited longer than ``starvation_s`` takes the
+next slot within that share, ahead of all other work; so it waits at most
+``starvation_s`` plus the time until one of the share's slots is free, times
+its place among the starved ones.
+
+No I/O, no threads: clock and random source are injected.
+"""
+
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from random import Random
+
+from cyclamenscale.errors import NotFoundError
+from cyclamenscale.messages import DoneItem, GrantItem, HoldingItem, WantItem
+from cyclamenscale.model import Endpoint
+from cyclamenscale.queues import ClassQueue, Key, Running, Spot, Waiting
+from cyclamenscale.runtimes import Quantiles, RunTimes
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import Clock
+
+POLICIES: dict[str, type] = {}
+
+#: Shortest and longest time a refused caller is told to wait.
+RETRY_AFTER_MIN_MS = 100
+RETRY_AFTER_MAX_MS = 60_000
+#: Requests tried behind one that can use none of the free slots, because it
+#: excludes them or is held back for its data centre.
+LOOK_AHEAD = 64
+#: Latency between data centres: the deployments have 0.5 and 1.5 ms.
+TRIP_MS = 1.0
+
+
+def policy(name: str) -> Callable[[type], type]:
+    """Register a way to share a pool's slots.
+
+    :param name: value of the setting ``scheduling.policy``.
+    """
+
+    def register(kind: type) -> type:
+        POLICIES[name] = kind
+        return kind
+
+    return register
+
+
+def find_policy(name: str) -> type:
+    """Return a registered policy.
+
+    :raises NotFoundError: if no policy has this name.
+    """
+    if name not in POLICIES:
+        raise NotFoundError("policy", name)
+    return POLICIES[name]
+
+
+@policy("pool_scheduler")
+class PoolScheduler:
+    """Scheduler of one pool.
+
+    :param settings: the whole settings.
+    :param clock: monotonic seconds.
+    :param rng: breaks ties between endpoints.
+    :param runtimes: learned run times, shared with other users of them.
+    :param choice: ``spread`` takes the endpoint with most free slots,
+        ``two_choices`` the better one of two random ones.
+    :param trip_ms: latency between data centres.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        rng: Random,
+        runtimes: RunTimes | None = None,
+        choice: str = "spread",
+        trip_ms: float = TRIP_MS,
+    ):
+        """Start without endpoints, classes and requests."""
+        self.settings = settings.scheduling
+        self.clock = clock
+        self.rng = rng
+        self.runtimes = runtimes or RunTimes(settings, clock)
+        self.choice = choice
+        self.trip_ms = trip_ms
+        self.spots: dict[str, Spot] = {}
+        self.centres: dict[str, str] = {}
+        self.targets: dict[str, float] = {}
+        self.queues: dict[str, ClassQueue] = {}
+        self.order: list[ClassQueue] = []
+        self.epochs: dict[str, int] = {}
+        self.classes: dict[Key, str] = {}
+        self.running: dict[Key, Running] = {}
+        self.watched: list[tuple[float, Key, Running]] = []
+        self.refused: list[tuple[str, GrantItem]] = []
+        self.long_used = 0
+        self.total = 0
+        #: When a request held back for its data centre may go elsewhere.
+        self.held_until_s: float | None = None
+
+    # Views.
+
+    def update_classes(self, targets: dict[str, float]) -> None:
+        """Take over the classes of the pool.
+
+        :param targets: target of each class, in milliseconds.
+        """
+        if targets == self.targets:
+            return
+        self.targets = dict(targets)
+        for queue in self.queues.values():
+            queue.target_ms = targets.get(queue.name, queue.target_ms)
+        self.sort_queues()
+
+    def update_entries(self, centres: dict[str, str]) -> None:
+        """Take over the data centres of the entries.
+
+        :param centres: data centre by name of entry.
+        """
+        self.centres = centres
+
+    def update_endpoints(
+        self, endpoints: list[Endpoint], allowed: dict[str, int]
+    ) -> None:
+        """Take over the endpoints of the pool.
+
+        :param endpoints: the endpoints.
+        :param allowed: slots that may be used, by endpoint; an endpoint
+            that is missing gets no new work.
+        """
+        before = self.total
+        known = {endpoint.name: endpoint for endpoint in endpoints}
+        for name in known:
+            if name not in self.spots:
+                self.spots[name] = Spot(name)
+        self.total = 0
+        for name, spot in list(self.spots.items()):
+            spot.allowed = allowed.get(name, 0) if name in known else 0
+            if name in known:
+                spot.data_centre = known[name].data_centre
+            elif not spot.used:
+                del self.spots[name]
+            self.total += spot.allowed
+        if 0 < self.total < before:
+            self.shed()
+
+    # Requests.
+
+    def add(self, entry: str, epoch: int, want: WantItem) -> None:
+        """Queue a request, or refuse it if it cannot meet its deadline.
+
+        :param entry: name of the entry.
+        :param epoch: the entry's epoch; older ones are ignored.
+        :param want: the request.
+        """
+        if epoch < self.epochs.get(entry, 0):
+            return
+        self.epochs[entry] = epoch
+        key = Key(entry, want.number)
+        if key in self.classes or key in self.running:
+            return
+        queue = self.queue_of(want)
+        waiting = Waiting(key, want, self.clock())
+        if self.total:
+            wait_ms = self.wait_ms(queue)
+            p50_ms = self.quantiles(queue).p50_ms
+            # With a free slot there is no estimate to be wrong about.
+            if wait_ms and wait_ms + p50_ms > want.slack_ms:
+                self.refuse(waiting, queue)
+                return
+        if len(self.classes) >= self.settings.queue_limit:
+            least = next(
+                q for q in reversed(self.order) if q.live or q is queue
+            )
+            if least is queue:
+                self.refuse(waiting, queue)
+                return
+            self.refuse(least.live[next(reversed(least.live))], least)
+        queue.push(waiting)
+        self.classes[key] = queue.name
+
+    def cancel(self, entry: str, number: int) -> None:
+        """Free the place of a waiting request."""
+        self.drop(Key(entry, number))
+
+    def done(self, entry: str, item: DoneItem, learn: bool = True) -> None:
+        """Free the slot of a request.
+
+        :param entry: name of the entry.
+        :param item: the request; unknown ones are ignored.
+        :param learn: whether the run time is to be recorded.
+        """
+        running = self.running.pop(Key(entry, item.number), None)
+        if running is None:
+            return
+        self.free(running)
+        if item.whole and learn:
+            self.runtimes.record(running.class_name, item.run_ms)
+
+    def reset(
+        self,
+        entry: str,
+        epoch: int,
+        wants: list[WantItem],
+        holding: list[HoldingItem],
+    ) -> None:
+        """Replace all that is known of an entry.
+
+        :param entry: name of the entry.
+        :param epoch: its new epoch; older ones are ignored.
+        :param wants: requests that wait.
+        :param holding: requests that run.
+        """
+        if epoch < self.epochs.get(entry, 0):
+            return
+        self.forget(entry)
+        self.epochs[entry] = epoch
+        now_s = self.clock()
+        for item in holding:
+            spot = self.spots.setdefault(item.endpoint, Spot(item.endpoint))
+            key = Key(entry, item.number)
+            self.occupy(key, item.class_name, spot, now_s - item.ran_ms / 1000)
+        for want in wants:
+            self.add(entry, epoch, want)
+
+    def forget(self, entry: str) -> None:
+        """Drop the requests of an entry and free its slots."""
+        self.epochs.pop(entry, None)
+        for key in [key for key in self.classes if key.entry == entry]:
+            self.drop(key)
+        for key in [key for key in self.running if key.entry == entry]:
+            self.free(self.running.pop(key))
+        self.refused = [one for one in self.refused if one[0] != entry]
+
+    def grants(self) -> list[tuple[str, GrantItem]]:
+        """Give free slots to waiting requests.
+
+        :returns: pairs of entry and grant, refusals included.
+        """
+        now_s = self.clock()
+        self.held_until_s = None
+        self.expire(now_s)
+        self.watch(now_s)
+        given = self.refused
+        self.refused = []
+        if self.classes and any(spot.free > 0 for spot in self.spots.values()):
+            targets = self.known_targets()
+            limit_ms = self.runtimes.long_limit_ms(targets)
+            for queue, starved in self.turns(now_s, limit_ms):
+                self.serve(queue, starved, limit_ms, now_s, given)
+        return given
+
+    # Parts.
+
+    def queue_of(self, want: WantItem) -> ClassQueue:
+        """Return the queue of a request's class.
+
+        A class the configuration does not know yet is ordered by the slack
+        of its first request.
+        """
+        queue = self.queues.get(want.class_name)
+        if queue is None:
+            target_ms = self.targets.get(want.class_name, want.slack_ms)
+            queue = ClassQueue(want.class_name, target_ms)
+            self.queues = {
+                name: old
+                for name, old in self.queues.items()
+                if old.live or name in self.targets
+            }
+            self.queues[queue.name] = queue
+            self.sort_queues()
+        return queue
+
+    def sort_queues(self) -> None:
+        """Order the queues by target, shorter first."""
+        self.order = sorted(
+            self.queues.values(), key=lambda queue: queue.target_ms
+        )
+
+    def known_targets(self) -> dict[str, float]:
+        """Return the targets of all classes, also of unconfigured ones."""
+        return {queue.name: queue.target_ms for queue in self.order} | (
+            self.targets
+        )
+
+    def quantiles(self, queue: ClassQueue) -> Quantiles:
+        """Return the run time estimates of a queue's class."""
+        return self.runtimes.quantiles(queue.name, queue.target_ms)
+
+    def wait_ms(self, queue: ClassQueue) -> float:
+        """Return the expected wait of a new request, 0 with a free slot.
+
+        It is the work ahead, in slot-milliseconds, over the slots.
+        """
+        ahead = 0.0
+        for other in self.order:
+            if other.target_ms <= queue.target_ms:
+                ahead += len(other.live) * self.quantiles(other).mean_ms
+        if not ahead and len(self.running) < self.total:
+            return 0.0
+        return (ahead + self.quantiles(queue).mean_ms) / max(1, self.total)
+
+    def retry_after_ms(self, queue: ClassQueue) -> int:
+        """Return when the work ahead of a new request will be drained."""
+        if not self.total:
+            return RETRY_AFTER_MAX_MS
+        wait_ms = self.wait_ms(queue)
+        return int(min(max(wait_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS))
+
+    def refuse(self, waiting: Waiting, queue: ClassQueue) -> None:
+        """Refuse a request, waiting or not."""
+        after_ms = self.retry_after_ms(queue)
+        self.drop(waiting.key)
+        key = waiting.key
+        self.refused.append((key.entry, GrantItem(key.number, "", after_ms)))
+
+    def drop(self, key: Key) -> Waiting | None:
+        """Remove a waiting request."""
+        name = self.classes.pop(key, None)
+        return None if name is None else self.queues[name].remove(key)
+
+    def occupy(
+        self, key: Key, class_name: str, spot: Spot, since_s: float
+    ) -> None:
+        """Put a request on a slot."""
+        running = Running(key, class_name, spot, since_s)
+        self.running[key] = running
+        spot.used += 1
+        targets = self.known_targets()
+        targets.setdefault(class_name, RETRY_AFTER_MAX_MS)
+        limit_ms = self.runtimes.long_limit_ms(targets)
+        p90_ms = self.runtimes.quantiles(
+            class_name, targets[class_name]
+        ).p90_ms
+        if p90_ms > limit_ms:
+            self.mark_long(running)
+        else:
+            heappush(self.watched, (since_s + limit_ms / 1000, key, running))
+
+    def mark_long(self, running: Running) -> None:
+        """Count a running request against the share of long work."""
+        running.long = True
+        running.spot.long_used += 1
+        self.long_used += 1
+
+    def free(self, running: Running) -> None:
+        """Free a slot."""
+        spot = running.spot
+        spot.used -= 1
+        if running.long:
+            spot.long_used -= 1
+            self.long_used -= 1
+
+    def watch(self, now_s: float) -> None:
+        """Count requests that turned out to run long as long work."""
+        while self.watched and self.watched[0][0] <= now_s:
+            _, key, running = heappop(self.watched)
+            if self.running.get(key) is running and not running.long:
+                self.mark_long(running)
+        if len(self.watched) > 2 * len(self.running) + 64:
+            self.watched = [
+                item
+                for item in self.watched
+                if self.running.get(item[1]) is item[2]
+            ]
+            heapify(self.watched)
+
+    def expire(self, now_s: float) -> None:
+        """Refuse requests that can no longer meet their deadline."""
+        for queue in self.order:
+            if not queue.live:
+                continue
+            latest_s = now_s + self.quantiles(queue).p50_ms / 1000
+            head = queue.head()
+            while head is not None and head.deadline_s < latest_s:
+                # A request that never could meet its deadline by the
+                # estimate gets its chance while slots are free.
+                if head.since_s == now_s and head.deadline_s > now_s:
+                    break
+                self.refuse(head, queue)
+                head = queue.head()
+
+    def shed(self) -> None:
+        """Refuse what cannot meet its deadline with the slots left.
+
+        The most urgent work is planned first, so that the least urgent is
+        shed first.
+        """
+        now_s = self.clock()
+        ahead_ms = 0.0
+        for queue in self.order:
+            times = self.quantiles(queue)
+            for waiting in list(queue.ordered()):
+                wait_ms = ahead_ms / self.total
+                left_ms = (waiting.deadline_s - now_s) * 1000
+                if wait_ms + times.p50_ms > left_ms:
+                    self.refuse(waiting, queue)
+                else:
+                    ahead_ms += times.mean_ms
+
+    def turns(
+        self, now_s: float, limit_ms: float
+    ) -> list[tuple[ClassQueue, bool]]:
+        """Return the queues in the order they are served.
+
+        Starved requests of long classes come first, then each class by its
+        target.
+        """
+        first = []
+        rest = []
+        for queue in self.order:
+            if not queue.live:
+                continue
+            rest.append((queue, False))
+            if self.quantiles(queue).p90_ms > limit_ms:
+                oldest = queue.oldest()
+                if now_s - oldest.since_s > self.settings.starvation_s:
+                    first.append((queue, True))
+        first.sort(key=lambda turn: turn[0].oldest().since_s)
+        return first + rest
+
+    def serve(
+        self,
+        queue: ClassQueue,
+        starved: bool,
+        limit_ms: float,
+        now_s: float,
+        given: list[tuple[str, GrantItem]],
+    ) -> None:
+        """Give slots to the requests of a queue as far as they go.
+
+        :param queue: the queue.
+        :param starved: whether only requests that waited too long are
+            served.
+        :param limit_ms: run time beyond which work is long.
+        :param now_s: the time.
+        :param given: gets the grants.
+        """
+        long = self.quantiles(queue).p90_ms > limit_ms
+        while queue.live:
+            waiting = queue.oldest() if starved else queue.head()
+            late_s = now_s - waiting.since_s
+            if starved and late_s <= self.settings.starvation_s:
+                return
+            spot, others = self.choose(waiting, queue, long, now_s)
+            if spot is not None:
+                given.append(self.grant(waiting, spot, now_s))
+            elif queue.has(waiting):
+                break
+        else:
+            return
+        if not others or starved:
+            return
+        for waiting in queue.first(LOOK_AHEAD):
+            spot, others = self.choose(waiting, queue, long, now_s)
+            if spot is not None:
+                given.append(self.grant(waiting, spot, now_s))
+            if not others:
+                return
+
+    def grant(
+        self, waiting: Waiting, spot: Spot, now_s: float
+    ) -> tuple[str, GrantItem]:
+        """Give a slot to a waiting request."""
+        self.drop(waiting.key)
+        self.occupy(waiting.key, waiting.class_name, spot, now_s)
+        return waiting.key.entry, GrantItem(waiting.key.number, spot.name)
+
+    def choose(
+        self, waiting: Waiting, queue: ClassQueue, long: bool, now_s: float
+    ) -> tuple[Spot | None, bool]:
+        """Choose an endpoint.
+
+        :returns: the endpoint or None, and whether a request behind this
+            one may find a slot.
+        """
+        share = self.settings.long_share
+        if long and self.long_used >= max(1, int(share * self.total)):
+            return None, False
+        free = [
+            spot
+            for spot in self.spots.values()
+            if spot.used < spot.allowed
+            and not (
+                long and spot.long_used >= max(1, int(share * spot.allowed))
+            )
+        ]
+        if not free:
+            return None, False
+        fit = [spot for spot in free if spot.name not in waiting.exclude]
+        if not fit:
+            if all(
+                spot.name in waiting.exclude
+                for spot in self.spots.values()
+                if spot.allowed
+            ):
+                self.refuse(waiting, queue)
+            return None, True
+        centre = self.centres.get(waiting.key.entry, "")
+        near = [spot for spot in fit if spot.data_centre == centre]
+        if not near and centre and self.hold(waiting, queue, centre, now_s):
+            return None, True
+        return self.pick(near or fit), True
+
+    def hold(
+        self, waiting: Waiting, queue: ClassQueue, centre: str, now_s: float
+    ) -> bool:
+        """Return whether to wait for a slot in the entry's data centre.
+
+        It is worth it only while the expected wait is below the trip to
+        another data centre.
+        """
+        busy = sum(
+            spot.used
+            for spot in self.spots.values()
+            if spot.data_centre == centre and spot.allowed
+        )
+        until_s = waiting.since_s + self.trip_ms / 1000
+        if until_s <= now_s:
+            return False
+        if not busy or self.quantiles(queue).mean_ms / busy >= self.trip_ms:
+            return False
+        if self.held_until_s is None or until_s < self.held_until_s:
+            self.held_until_s = until_s
+        return True
+
+    def pick(self, spots: list[Spot]) -> Spot:
+        """Choose among endpoints with a free slot."""
+        if self.choice == "two_choices" and len(spots) > 2:
+            spots = self.rng.sample(spots, 2)
+        most = max(spot.free for spot in spots)
+        return self.rng.choice([spot for spot in spots if spot.free == most])
--- /dev/null
+++ b/cyclamenscale/slots.py
@@ -0,0 +1,403 @@
+"""Slots of all pools at one entry: threads and messages.
+
+The decisions are made by :class:`cyclamenscale.slot_client.SlotClient` and
+:class:`cyclamenscale.slot_role.SlotRole`; here calling threads wait for them
+and batches go over the peer link. The scheduler of a pool is the entry that
+rendezvous hashing of the pool's name chooses among the live ones.
+"""
+
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from random import Random
+from threading import Event, RLock
+from time import time
+from typing import NamedTuple, Protocol
+
+from xxhash import xxh64_intdigest
+
+from cyclamenscale.errors import NotRunError
+from cyclamenscale.messages import GrantBatch, GrantItem, SlotBatch
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import ConfigView, Endpoint, RequestClass
+from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.settings import Settings
+from cyclamenscale.slot_client import PoolView, SlotClient
+from cyclamenscale.slot_role import SlotRole
+from cyclamenscale.util.clock import Clock, monotonic
+
+#: How often the views of pools and entries are read again.
+VIEW_S = 0.1
+#: Longest sleep of the loop; bounds how late a deadline or a fallback is
+#: noticed.
+TICK_S = 0.05
+#: Rounds of delivery between the own client and the own role in one step;
+#: each round answers the one before, so more than three mean a fault.
+ROUNDS_LIMIT = 8
+
+
+class Slot(NamedTuple):
+    """A slot a request may run on.
+
+    :ivar number: number of the request.
+    :ivar pool: the pool.
+    :ivar endpoint: name of the instance.
+    """
+
+    number: int
+    pool: str
+    endpoint: str
+
+
+class Link(Protocol):
+    """What is used of the peer link.
+
+    ``on`` handlers may be called from another thread than ``send``.
+    """
+
+    def send(self, name: str, message: NamedTuple) -> bool:
+        """Send a message to a peer."""
+
+    def on(self, kind: type, handler: Callable[[NamedTuple], None]) -> None:
+        """Call a handler for each message of a type."""
+
+    def alive(self) -> Iterable[str]:
+        """Return the names of the entries heard from."""
+
+
+class ConfigSource(Protocol):
+    """The applied configuration."""
+
+    view: ConfigView
+
+
+def choose_scheduler(pool: str, alive: Iterable[str]) -> str:
+    """Return the entry that schedules a pool, by rendezvous hashing.
+
+    :param pool: name of the pool.
+    :param alive: names of the live entries, at least one.
+    """
+    return max(
+        alive,
+        key=lambda name: (xxh64_intdigest(f"{pool}\0{name}".encode()), name),
+    )
+
+
+class SlotBroker:
+    """Gives slots to the requests of this entry.
+
+    :param settings: the whole settings.
+    :param config: holds the applied configuration as ``view``.
+    :param usable: returns the slots that may be used of each endpoint of a
+        pool.
+    :param endpoints_of: returns the endpoints of a pool.
+    :param link: the peer link.
+    :param metrics: gets counters.
+    :param clock: monotonic seconds.
+    :param rng: breaks ties.
+    :param first_epoch: higher than any epoch this entry used before a
+        restart; the wall clock by default.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        config: ConfigSource,
+        usable: Callable[[str], dict[str, int]],
+        endpoints_of: Callable[[str], list[Endpoint]],
+        link: Link,
+        metrics: Metrics,
+        clock: Clock = monotonic,
+        rng: Random | None = None,
+        first_epoch: int | None = None,
+    ):
+        """Register the message handlers."""
+        self.settings = settings
+        self.name = settings.entry.name
+        self.config = config
+        self.usable = usable
+        self.endpoints_of = endpoints_of
+        self.link = link
+        self.metrics = metrics
+        self.clock = clock
+        self.rng = rng or Random()
+        self.first_epoch = int(time()) if first_epoch is None else first_epoch
+        self.runtimes = RunTimes(settings, clock)
+        # Guards number, clients, roles, views, futures, viewed_s and all
+        # that hangs on them.
+        self.lock = RLock()
+        self.number = 0
+        self.clients: dict[str, SlotClient] = {}
+        self.roles: dict[str, SlotRole] = {}
+        self.views: dict[str, PoolView] = {}
+        self.futures: dict[int, Future] = {}
+        self.viewed_s = float("-inf")
+        self.flushed_s = float("-inf")
+        self.wake = Event()
+        link.on(SlotBatch, self.on_slots)
+        link.on(GrantBatch, self.on_grants)
+
+    # Calling threads.
+
+    def acquire(
+        self,
+        request_class: RequestClass,
+        slack_ms: int,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Slot:
+        """Wait for a slot.
+
+        :param request_class: class of the request.
+        :param slack_ms: time left until its deadline, in milliseconds.
+        :param exclude: endpoints that must not run it.
+        :returns: the slot, to be given to :meth:`release`.
+        :raises NotRunError: if it is refused or the deadline has passed.
+        """
+        pool = request_class.pool
+        future: Future = Future()
+        with self.lock:
+            self.number += 1
+            number = self.number
+            self.futures[number] = future
+            client = self.client(pool)
+            client.want(number, request_class.name, slack_ms, exclude)
+        self.wake.set()
+        try:
+            grant = future.result(timeout=max(0.0, slack_ms / 1000))
+        except FutureTimeoutError:
+            grant = None
+        with self.lock:
+            if grant is None and future.done():
+                # It was decided between the time-out and the lock.
+                grant = future.result()
+            self.futures.pop(number, None)
+            if grant is None:
+                client.cancel(number)
+                retry_s = self.retry_after_s(pool, request_class.name)
+        if grant is None:
+            self.wake.set()
+            self.metrics.incr("slots.deadline_passed")
+            raise NotRunError(
+                "deadline",
+                f"no slot of pool {pool} became free within {slack_ms} ms",
+                retry_s,
+            )
+        if not grant.endpoint:
+            self.metrics.incr("slots.refused")
+            raise NotRunError(
+                "overloaded",
+                f"pool {pool} cannot finish a request of class "
+                f"{request_class.name} within {slack_ms} ms",
+                grant.retry_after_ms / 1000,
+            )
+        self.metrics.incr("slots.granted")
+        return Slot(number, pool, grant.endpoint)
+
+    def release(self, slot: Slot, run_ms: int, whole: bool) -> None:
+        """Give a slot back.
+
+        :param slot: what :meth:`acquire` returned.
+        :param run_ms: how long the request ran, 0 if it was not sent.
+        :param whole: whether a complete answer came.
+        """
+        with self.lock:
+            self.client(slot.pool).release(slot.number, run_ms, whole)
+        self.wake.set()
+
+    def retry_after_s(self, pool: str, class_name: str) -> float:
+        """Return how long the requests waiting here take to drain (locked).
+
+        The slots are taken as shared evenly by the live entries.
+        """
+        view = self.views.get(pool)
+        slots = sum(view.allowed.values()) if view else 0
+        if not slots:
+            return 1.0
+        target_ms = view.targets.get(class_name, 1000)
+        mean_ms = self.runtimes.quantiles(class_name, target_ms).mean_ms
+        waiting = len(self.clients[pool].waiting) + 1
+        drain_ms = waiting * mean_ms * len(view.alive) / slots
+        return min(max(drain_ms / 1000, 0.1), 60.0)
+
+    # Link.
+
+    def on_slots(self, batch: SlotBatch) -> None:
+        """Take over what an entry sent to the scheduler role."""
+        with self.lock:
+            if batch.pool not in self.config.view.pools:
+                self.metrics.incr("slots.unknown_pool")
+                return
+            self.role(batch.pool).take(batch)
+        self.wake.set()
+
+    def on_grants(self, batch: GrantBatch) -> None:
+        """Take over what a scheduler sent."""
+        with self.lock:
+            client = self.clients.get(batch.pool)
+            if client is None:
+                self.metrics.incr("slots.stale_grants", len(batch.grants))
+                return
+            client.take(batch)
+            self.deliver(client)
+        self.wake.set()
+
+    # Component loop.
+
+    def run(self, stop: Event) -> None:
+        """Send batches until told to stop.
+
+        Batches go out at once after a pause, and otherwise at most every
+        ``peers.batch_ms``, so that only load makes them wait.
+
+        :param stop: set to end the loop; requests that still wait are
+            refused.
+        """
+        batch_s = self.settings.peers.batch_ms / 1000
+        while not stop.is_set():
+            wait_s = self.step()
+            if self.wake.wait(timeout=wait_s):
+                since_s = self.clock() - self.flushed_s
+                if since_s < batch_s:
+                    stop.wait(batch_s - since_s)
+            self.wake.clear()
+        self.refuse_all()
+
+    def step(self) -> float:
+        """Do what is due now.
+
+        :returns: seconds after which it must be called again.
+        """
+        wait_s = TICK_S
+        with self.lock:
+            self.refresh()
+            outgoing = []
+            for client in self.clients.values():
+                client.tick()
+                self.deliver(client)
+                outgoing += client.farewells
+                client.farewells = []
+            for pool in self.clients.keys() | self.roles.keys():
+                outgoing += self.exchange(pool)
+            for role in self.roles.values():
+                until_s = role.scheduler.held_until_s
+                if until_s is not None:
+                    wait_s = min(wait_s, max(0.0, until_s - self.clock()))
+            self.flushed_s = self.clock()
+        for name, content in outgoing:
+            if not self.link.send(name, content):
+                self.metrics.incr("slots.unsent")
+        return wait_s
+
+    def exchange(self, pool: str) -> list[tuple[str, NamedTuple]]:
+        """Run one pool's client and role until both have nothing to say.
+
+        :returns: messages for other entries (locked).
+        """
+        outgoing = []
+        client = self.clients.get(pool)
+        for _ in range(ROUNDS_LIMIT):
+            sent = []
+            batch = client.batch() if client else None
+            if batch is not None:
+                sent.append((client.scheduler, batch))
+            if pool in self.roles:
+                sent += self.roles[pool].batches()
+            if not sent:
+                break
+            for name, content in sent:
+                if name != self.name:
+                    outgoing.append((name, content))
+                elif isinstance(content, SlotBatch):
+                    self.role(pool).take(content)
+                elif client:
+                    client.take(content)
+                    self.deliver(client)
+        else:
+            self.metrics.incr("slots.rounds_limit")
+        return outgoing
+
+    def refuse_all(self) -> None:
+        """Refuse what still waits when the process ends."""
+        with self.lock:
+            for client in self.clients.values():
+                for number in list(client.waiting):
+                    client.cancel(number)
+                    future = self.futures.get(number)
+                    if future is not None and not future.done():
+                        future.set_result(GrantItem(number, "", 1000))
+
+    # Views (locked).
+
+    def refresh(self) -> None:
+        """Read configuration, endpoints and live entries again."""
+        now_s = self.clock()
+        if now_s - self.viewed_s < VIEW_S:
+            return
+        self.viewed_s = now_s
+        alive = frozenset(self.link.alive()) | {self.name}
+        for pool in self.clients.keys() | self.roles.keys():
+            self.refresh_pool(pool, alive)
+
+    def refresh_pool(self, pool: str, alive: frozenset[str]) -> None:
+        """Give a pool's client and role the current view."""
+        config = self.config.view
+        centres = {
+            member.name: member.data_centre
+            for member in config.members.members
+        }
+        centres[self.name] = self.settings.entry.data_centre
+        targets = {
+            one.name: float(one.finish_within_ms)
+            for one in config.classes.values()
+            if one.pool == pool
+        }
+        view = PoolView(
+            self.endpoints_of(pool),
+            self.usable(pool),
+            targets,
+            centres,
+            alive,
+        )
+        self.views[pool] = view
+        if pool in self.clients:
+            client = self.clients[pool]
+            client.update(view, choose_scheduler(pool, alive))
+            for name, count in client.counts.items():
+                self.metrics.incr(f"slots.{name}", count)
+            client.counts.clear()
+        if pool in self.roles:
+            role = self.roles[pool]
+            role.update(view)
+            role.check_silent()
+            waiting = len(role.scheduler.classes)
+            self.metrics.gauge(f"slots.waiting.{pool}", waiting)
+
+    def client(self, pool: str) -> SlotClient:
+        """Return the entry's side of a pool."""
+        if pool not in self.clients:
+            self.clients[pool] = SlotClient(
+                self.settings,
+                pool,
+                self.clock,
+                self.rng,
+                self.runtimes,
+                self.first_epoch,
+            )
+            self.refresh_pool(pool, frozenset(self.link.alive()) | {self.name})
+        return self.clients[pool]
+
+    def role(self, pool: str) -> SlotRole:
+        """Return the scheduler of a pool."""
+        if pool not in self.roles:
+            self.roles[pool] = SlotRole(
+                self.settings, pool, self.clock, self.rng, self.runtimes
+            )
+            self.refresh_pool(pool, frozenset(self.link.alive()) | {self.name})
+        return self.roles[pool]
+
+    def deliver(self, client: SlotClient) -> None:
+        """Hand decisions to the waiting threads."""
+        for grant in client.take_decided():
+            future = self.futures.get(grant.number)
+            if future is not None:
+                future.set_result(grant)
