Add the command line

Cause: processes are started and operators act through one program. Not yet run against an entry. Conclusion: entry, local and bench need their modules.

--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -162,6 +162,25 @@
         self.reason = reason
 
 
+class ServerFaultError(UserError):
+    """An entry answered a command with a failure of its own.
+
+    :param url: address that answered.
+    :param status: HTTP status of the answer.
+    :param message: what the answer says.
+    """
+
+    code = "server_fault"
+    exit_status = 7
+
+    def __init__(self, url: str, status: int, message: str):
+        """Keep the address and the status."""
+        super().__init__(f"{url} answered {status}: {message}")
+        self.url = url
+        self.status = status
+        self.message = message
+
+
 class StoreError(CyclamenError):
     """Base of failures of the platform's key-value service."""
 
--- /dev/null
+++ b/cyclamenscale/ui/client.py
@@ -0,0 +1,260 @@
+"""Client of the operators' server of the entries."""
+
+import os
+import secrets
+import time
+from collections.abc import Callable
+from io import BytesIO
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import pycurl
+
+from cyclamenscale.errors import (
+    FieldError,
+    OutcomeUnknownError,
+    ServerFaultError,
+    UnreachableError,
+)
+from cyclamenscale.settings_schema import is_address
+from cyclamenscale.util.codec import from_json, to_json
+from cyclamenscale.util.faults import from_faults
+
+ADDRESS_VARIABLE = "CYCLAMENSCALE_ENTRY"
+OPERATOR_VARIABLE = "CYCLAMENSCALE_OPERATOR"
+
+CONNECT_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 15.0
+
+# An entry reports the outcome of a change within 12 s by default, and 120 s
+# is the highest value of freshness.accept_within_s.
+CHANGE_TIMEOUT_S = 130.0
+
+# How often the list of addresses is gone through for one change.
+CHANGE_ROUNDS = 2
+
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class Answer(NamedTuple):
+    """An answer of a server.
+
+    :ivar status: HTTP status.
+    :ivar body: decoded JSON.
+    """
+
+    status: int
+    body: Any
+
+
+class AttemptError(Exception):
+    """A call brought no answer.
+
+    :param reason: what went wrong.
+    :param sent: whether a byte of the request can have reached the server.
+    """
+
+    def __init__(self, reason: str, sent: bool):
+        """Keep what decides whether the call may be repeated."""
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+def parse_addresses(text: str) -> list[str]:
+    """Parse ``HOST:PORT``, several separated by commas.
+
+    :raises FieldError: if one is malformed or there is none.
+    """
+    parts = [part.strip() for part in text.split(",") if part.strip()]
+    if not parts or not all(is_address(part, 1) for part in parts):
+        raise FieldError(
+            f"--entry or {ADDRESS_VARIABLE}",
+            text,
+            "HOST:PORT of an entry's operators' server, several separated "
+            "by commas",
+        )
+    return parts
+
+
+def check_text(field: str, text: str) -> str:
+    """Return a text that may stand in a header.
+
+    :raises FieldError: if it has control characters.
+    """
+    if not text.isprintable():
+        raise FieldError(field, text, "one line of printable characters")
+    return text
+
+
+def new_change_id() -> str:
+    """Return a unique id; ids sort by time, so that trails do too."""
+    return f"{int(time.time() * 1000):012x}-{secrets.token_hex(6)}"
+
+
+def attempt(
+    method: str,
+    url: str,
+    body: bytes | None,
+    headers: list[str],
+    timeout_s: float,
+) -> Answer:
+    """Call a server once, on a new connection.
+
+    :raises AttemptError: if there is no complete answer.
+    """
+    out = BytesIO()
+
+    def receive(data: bytes) -> int | None:
+        if out.tell() + len(data) > ANSWER_LIMIT_BYTES:
+            return 0
+        out.write(data)
+        return None
+
+    curl = pycurl.Curl()
+    try:
+        curl.setopt(pycurl.URL, url)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
+        curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
+        # libcurl repeats a request by itself on a reused connection.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.WRITEFUNCTION, receive)
+        if body is not None:
+            curl.setopt(pycurl.POSTFIELDS, body)
+            headers = [*headers, "Content-Type: application/json"]
+        lines = [*headers, "Expect:"]
+        curl.setopt(pycurl.HTTPHEADER, [line.encode() for line in lines])
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            raise AttemptError(error.args[1] or "no answer", sent) from error
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+    finally:
+        curl.close()
+    try:
+        return Answer(status, from_json(out.getvalue(), url))
+    except FieldError as error:
+        raise ServerFaultError(url, status, "the answer is no JSON") from error
+
+
+class Client:
+    """Calls the first of several entries that answers.
+
+    :param addresses: ``HOST:PORT`` of operators' servers.
+    :param call: makes one call, see :func:`attempt`.
+    """
+
+    def __init__(
+        self, addresses: list[str], call: Callable[..., Answer] = attempt
+    ):
+        """Keep the addresses."""
+        self.addresses = addresses
+        self.call = call
+
+    def read(self, path: str) -> Any:
+        """Read from the first entry that answers.
+
+        :param path: path and query.
+        :raises UserError: as the server reported it.
+        :raises UnreachableError: if none answers.
+        """
+        reason = ""
+        for address in self.addresses:
+            url = f"http://{address}{path}"
+            try:
+                answer = self.call("GET", url, None, [], READ_TIMEOUT_S)
+            except AttemptError as error:
+                reason = error.reason
+                continue
+            return self.checked(answer, url)
+        raise UnreachableError(", ".join(self.addresses), reason)
+
+    def change(
+        self,
+        method: str,
+        path: str,
+        fields: dict[str, Any] | None = None,
+        who: str = "",
+        why: str = "",
+        change_id: str = "",
+        expected_revision: int | None = None,
+    ) -> Any:
+        """Make a change; repeats carry the same change id.
+
+        :param method: ``PUT`` or ``DELETE``.
+        :param path: path of the record.
+        :param fields: the record's fields.
+        :param who: the operator.
+        :param why: the operator's reason.
+        :param change_id: id of the change, by default a new one.
+        :param expected_revision: revision of the record that is changed, 0
+            for a new one, ``None`` for any.
+        :raises UserError: as the server reported it.
+        :raises UnreachableError: if the change was sent to no entry.
+        :raises OutcomeUnknownError: if it was sent and not answered.
+        """
+        change_id = check_text("--change-id", change_id or new_change_id())
+        headers = [
+            f"Cyclamen-Operator: {check_text('--who', who)}",
+            f"Cyclamen-Change: {change_id}",
+        ]
+        if expected_revision == 0:
+            headers.append("If-None-Match: *")
+        elif expected_revision is not None:
+            headers.append(f'If-Match: "{expected_revision}"')
+        path += "?why=" + quote(why, safe="")
+        body = None if fields is None else to_json(fields)
+        reason, sent = "", False
+        for address in self.addresses * CHANGE_ROUNDS:
+            url = f"http://{address}{path}"
+            try:
+                answer = self.call(
+                    method, url, body, headers, CHANGE_TIMEOUT_S
+                )
+            except AttemptError as error:
+                reason, sent = error.reason, sent or error.sent
+                continue
+            if answer.status == 503 and not faults_of(answer):
+                # The server had no free thread and did not read the call.
+                reason = "the entry is busy"
+                continue
+            if sent and answer.status >= 300:
+                # The refusal is about the repeat; the first try may still
+                # take effect at its entry.
+                reason += f", and a repeat was answered {answer.status}"
+                break
+            return self.checked(answer, url)
+        if sent:
+            raise OutcomeUnknownError(change_id, reason)
+        raise UnreachableError(", ".join(self.addresses), reason)
+
+    def checked(self, answer: Answer, url: str) -> Any:
+        """Return the body of a good answer, raise the error of another."""
+        if answer.status < 300:
+            return answer.body
+        faults = faults_of(answer)
+        if not faults:
+            raise ServerFaultError(url, answer.status, "no reason was given")
+        raise from_faults(faults, url, answer.status)
+
+
+def faults_of(answer: Answer) -> list[dict[str, Any]]:
+    """Return the faults that an answer lists, if any."""
+    body = answer.body if isinstance(answer.body, dict) else {}
+    return body.get("errors") or []
+
+
+def open_client(entry: str) -> Client:
+    """Make a client.
+
+    :param entry: addresses from the command line; without them the
+        environment's are taken.
+    """
+    return Client(
+        parse_addresses(entry or os.environ.get(ADDRESS_VARIABLE, ""))
+    )
--- /dev/null
+++ b/cyclamenscale/ui/commands.py
@@ -0,0 +1,152 @@
+"""The commands: processes, settings and benchmarks here, the rest beside.
+
+Modules that open sockets or start threads are imported by the commands that
+need them.
+"""
+
+import sys
+
+from cyclamenscale.settings import Settings, load
+from cyclamenscale.settings_schema import render_docs, render_ini
+from cyclamenscale.ui.planning import Group, Plan, command, print_json
+from cyclamenscale.ui.records import (
+    ChangeGroup,
+    ClassGroup,
+    InstanceGroup,
+    MemberGroup,
+    PoolGroup,
+)
+from cyclamenscale.ui.reports import ExplainGroup, print_audit, print_status
+from cyclamenscale.util.log import set_up
+
+
+class SettingsGroup(Group):
+    """Check, show and describe settings."""
+
+    @command
+    def check(self, file: str) -> None:
+        """Check a settings file and report all its faults.
+
+        :param file: path of an INI file.
+        """
+        load(file)
+        print(f"{file}: no faults")
+
+    @command
+    def show(self, file: str = "", *, json: bool = False) -> None:
+        """Print the settings that a file gives, defaults included.
+
+        :param file: path of an INI file, empty for the defaults.
+        :param json: print JSON.
+        """
+        settings = load(file or None)
+        if json:
+            print_json(settings)
+        else:
+            print(render_ini(settings), end="")
+
+    @command
+    def docs(self) -> None:
+        """Print the page docs/settings.md."""
+        print(render_docs(Settings), end="")
+
+
+class BenchGroup(Group):
+    """Run a benchmark; it prints its report."""
+
+    @command
+    def policy(
+        self, *, seed: int = 1, deployment: str = "", report: str = ""
+    ) -> int | None:
+        """Compare slot policies in a simulation.
+
+        :param seed: seed of the load.
+        :param deployment: deployment to simulate, empty for all.
+        :param report: file for the report, empty for standard output only.
+        """
+        from cyclamenscale.bench.policy import run
+
+        return run(seed=seed, deployment=deployment, report=report)
+
+    @command
+    def path(self) -> int | None:
+        """Measure the request path."""
+        from cyclamenscale.bench.path import run
+
+        return run()
+
+    @command
+    def capacity(self) -> int | None:
+        """Measure the slopes behind docs/CAPACITY.md."""
+        from cyclamenscale.bench.capacity import run
+
+        return run()
+
+
+class Commands(Group):
+    """Fleet capacity and maintenance manager."""
+
+    def __init__(self, plan: Plan):
+        """Make the groups; ``class`` is no name that Python allows."""
+        super().__init__(plan)
+        setattr(self, "class", ClassGroup(plan))
+        self.pool = PoolGroup(plan)
+        self.instance = InstanceGroup(plan)
+        self.member = MemberGroup(plan)
+        self.change = ChangeGroup(plan)
+        self.explain = ExplainGroup(plan)
+        self.settings = SettingsGroup(plan)
+        self.bench = BenchGroup(plan)
+
+    @command
+    def entry(self, settings: str) -> int | None:
+        """Run an entry until it is told to stop.
+
+        :param settings: path of an INI file.
+        """
+        from cyclamenscale.entry import run
+
+        checked = load(settings)
+        set_up(checked)
+        return run(checked)
+
+    @command
+    def local(self, *, serve: bool = False) -> int | None:
+        """Run test doubles and two entries in one process.
+
+        :param serve: keep serving instead of running the demonstration.
+        """
+        from cyclamenscale.local import run
+
+        set_up(Settings())
+        return run(serve=serve)
+
+    @command
+    def status(self, *, entry: str = "", json: bool = False) -> None:
+        """Show the state of an entry.
+
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_status(entry, json)
+
+    @command
+    def audit(
+        self,
+        *,
+        limit: int = 50,
+        after: str = "",
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show changes of the configuration and an entry's decisions.
+
+        :param limit: at most so many of each.
+        :param after: id of a change; show those behind it.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        if print_audit(limit, after, entry, json):
+            print("more: repeat with --after ID of the last", file=sys.stderr)
--- /dev/null
+++ b/cyclamenscale/ui/records.py
@@ -0,0 +1,375 @@
+"""Commands on classes, pools, instances, members and changes."""
+
+import getpass
+import os
+from typing import Any
+from urllib.parse import quote
+
+from cyclamenscale.errors import NotFoundError
+from cyclamenscale.ui.client import OPERATOR_VARIABLE, open_client
+from cyclamenscale.ui.planning import Group, command, print_json
+from cyclamenscale.util.tables import flatten, table
+
+#: Path and columns of the lists.
+LISTS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "class": (
+        "/v1/classes",
+        ("name", "pool", "finish_within_ms", "max_out_share", "repeatable"),
+    ),
+    "pool": ("/v1/pools", ("name", "spare", "version")),
+    "instance": ("/v1/instances", ("name", "pool", "state")),
+    "member": (
+        "/v1/members",
+        ("name", "incarnation", "address", "data_centre", "leaving"),
+    ),
+}
+
+
+def path_of(kind: str, name: str) -> str:
+    """Return the path of a record."""
+    return f"{LISTS[kind][0]}/{quote(name, safe='')}"
+
+
+def operator(who: str) -> str:
+    """Return who makes a change: flag, environment, or the user's name."""
+    if who or OPERATOR_VARIABLE in os.environ:
+        return who or os.environ[OPERATOR_VARIABLE]
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        # The user id has no name; the server asks for one.
+        return ""
+
+
+def print_list(kind: str, entry: str, json: bool) -> None:
+    """Print all records of a kind."""
+    path, columns = LISTS[kind]
+    answer = open_client(entry).read(path)
+    if json:
+        print_json(answer)
+        return
+    rows = [
+        [item["record"].get(column) for column in columns] + [item["revision"]]
+        for item in answer["items"]
+    ]
+    print(table([*columns, "revision"], rows))
+
+
+def print_fields(answer: dict[str, Any], json: bool) -> None:
+    """Print one answer as a table of names and values."""
+    if json:
+        print_json(answer)
+    else:
+        print(table(("field", "value"), flatten(answer).items()))
+
+
+def print_accepted(answer: dict[str, Any], json: bool) -> None:
+    """Print what became of a change."""
+    if json:
+        print_json(answer)
+    else:
+        print(
+            f"accepted as change {answer['change_id']}, revision "
+            f"{answer['revision']}, in force after "
+            f"{answer['in_force_s']:.2f} s"
+        )
+
+
+def put(
+    kind: str,
+    name: str,
+    fields: dict[str, Any],
+    entry: str,
+    json: bool,
+    **change: Any,
+) -> None:
+    """Set the fields that were given; the others stay as they are.
+
+    The change is bound to the revision that was read, so that it cannot
+    undo a field that somebody else has changed in between.
+    """
+    client = open_client(entry)
+    given = {key: value for key, value in fields.items() if value is not None}
+    revision = change.pop("expected_revision")
+    try:
+        found = client.read(path_of(kind, name))
+        old = {key: found["record"][key] for key in fields}
+        current = found["revision"]
+    except NotFoundError:
+        old, current = {}, 0
+    answer = client.change(
+        "PUT",
+        path_of(kind, name),
+        {**old, **given},
+        expected_revision=current if revision is None else revision,
+        **{**change, "who": operator(change["who"])},
+    )
+    print_accepted(answer, json)
+
+
+def delete(kind: str, name: str, entry: str, json: bool, **change) -> None:
+    """Remove a record."""
+    change["who"] = operator(change["who"])
+    client = open_client(entry)
+    answer = client.change("DELETE", path_of(kind, name), **change)
+    print_accepted(answer, json)
+
+
+class RecordGroup(Group):
+    """Commands that every kind of record has."""
+
+    _kind = ""
+
+    @command
+    def show(self, name: str, *, entry: str = "", json: bool = False) -> None:
+        """Show one record with its revision.
+
+        :param name: name of the record.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        client = open_client(entry)
+        print_fields(client.read(path_of(self._kind, name)), json)
+
+    @command
+    def list(self, *, entry: str = "", json: bool = False) -> None:
+        """List all records.
+
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_list(self._kind, entry, json)
+
+    @command
+    def remove(
+        self,
+        name: str,
+        *,
+        why: str = "",
+        who: str = "",
+        change_id: str = "",
+        expected_revision: int | None = None,
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Remove a record.
+
+        :param name: name of the record.
+        :param why: reason, kept in the audit trail; required.
+        :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param change_id: id of an earlier try of the same change.
+        :param expected_revision: refuse if the record has another revision.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        delete(
+            self._kind,
+            name,
+            entry,
+            json,
+            why=why,
+            who=who,
+            change_id=change_id,
+            expected_revision=expected_revision,
+        )
+
+
+class ClassGroup(RecordGroup):
+    """Classes of work and their two targets."""
+
+    _kind = "class"
+
+    @command
+    def set(
+        self,
+        name: str,
+        *,
+        pool: str = None,
+        finish_within_ms: int | None = None,
+        max_out_share: float | None = None,
+        repeatable: bool | None = None,
+        why: str = "",
+        who: str = "",
+        change_id: str = "",
+        expected_revision: int | None = None,
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Create a class or change its targets; other fields stay.
+
+        :param name: name of the class.
+        :param pool: pool whose instances run it.
+        :param finish_within_ms: how soon its requests must finish.
+        :param max_out_share: share of the pool that may be out, 0 to 1.
+        :param repeatable: whether a request may run more than once.
+        :param why: reason, kept in the audit trail; required.
+        :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param change_id: id of an earlier try of the same change.
+        :param expected_revision: refuse if the record has another revision.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        fields = {
+            "pool": pool,
+            "finish_within_ms": finish_within_ms,
+            "max_out_share": max_out_share,
+            "repeatable": repeatable,
+        }
+        put(
+            "class",
+            name,
+            fields,
+            entry,
+            json,
+            why=why,
+            who=who,
+            change_id=change_id,
+            expected_revision=expected_revision,
+        )
+
+
+class PoolGroup(RecordGroup):
+    """Pools of instances."""
+
+    _kind = "pool"
+
+    @command
+    def set(
+        self,
+        name: str,
+        *,
+        spare: bool | None = None,
+        version: str = None,
+        why: str = "",
+        who: str = "",
+        change_id: str = "",
+        expected_revision: int | None = None,
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Create a pool or change it; other fields stay.
+
+        :param name: name of the pool.
+        :param spare: whether it lends instances to the other pools.
+        :param version: software version its instances should reach.
+        :param why: reason, kept in the audit trail; required.
+        :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param change_id: id of an earlier try of the same change.
+        :param expected_revision: refuse if the record has another revision.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        put(
+            "pool",
+            name,
+            {"spare": spare, "version": version},
+            entry,
+            json,
+            why=why,
+            who=who,
+            change_id=change_id,
+            expected_revision=expected_revision,
+        )
+
+
+class InstanceGroup(RecordGroup):
+    """Instances and the one pool that each belongs to."""
+
+    _kind = "instance"
+
+    @command
+    def assign(
+        self,
+        name: str,
+        pool: str,
+        *,
+        why: str = "",
+        who: str = "",
+        change_id: str = "",
+        expected_revision: int | None = None,
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Put an instance into a pool.
+
+        :param name: name of the instance, as in the platform's list.
+        :param pool: the pool.
+        :param why: reason, kept in the audit trail; required.
+        :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param change_id: id of an earlier try of the same change.
+        :param expected_revision: refuse if the record has another revision.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        put(
+            "instance",
+            name,
+            {"pool": pool},
+            entry,
+            json,
+            why=why,
+            who=who,
+            change_id=change_id,
+            expected_revision=expected_revision,
+        )
+
+
+class MemberGroup(Group):
+    """Entries that take part in the barrier of changes."""
+
+    @command
+    def list(self, *, entry: str = "", json: bool = False) -> None:
+        """List the member list.
+
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_list("member", entry, json)
+
+    @command
+    def remove(
+        self,
+        name: str,
+        *,
+        why: str = "",
+        who: str = "",
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Remove an entry that is lost for good from the member list.
+
+        :param name: name of the entry.
+        :param why: reason, kept in the audit trail; required.
+        :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        client = open_client(entry)
+        answer = client.change(
+            "DELETE", path_of("member", name), who=operator(who), why=why
+        )
+        print_fields(answer, json)
+
+
+class ChangeGroup(Group):
+    """Changes that were made."""
+
+    @command
+    def show(self, id: str, *, entry: str = "", json: bool = False) -> None:
+        """Show what became of a change.
+
+        :param id: id of the change.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        path = "/v1/changes/" + quote(id, safe="")
+        print_fields(open_client(entry).read(path), json)
--- /dev/null
+++ b/cyclamenscale/ui/reports.py
@@ -0,0 +1,123 @@
+"""Commands that report: status, audit, explain."""
+
+from datetime import UTC, datetime
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from cyclamenscale.ui.client import open_client
+from cyclamenscale.ui.planning import Group, command, print_json
+from cyclamenscale.util.tables import flatten, table
+
+CHANGE_COLUMNS = ("when", "revision", "id", "who", "what", "why", "new")
+DECISION_COLUMNS = ("when", "revision", "who", "what", "subject", "why")
+
+
+def show_time(seconds: float) -> str:
+    """Write a time of day in UTC, to the second."""
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def print_trail(answer: dict[str, Any]) -> None:
+    """Print changes and decisions as tables."""
+    for key, columns in (
+        ("changes", CHANGE_COLUMNS),
+        ("decisions", DECISION_COLUMNS),
+    ):
+        rows = [
+            [
+                show_time(item["when_s"])
+                if column == "when"
+                else item.get(column)
+                for column in columns
+            ]
+            for item in answer.get(key, [])
+        ]
+        print(f"{key}:")
+        print(table(columns, rows) if rows else "none")
+
+
+def print_status(entry: str, json: bool) -> None:
+    """Print the status of an entry."""
+    answer = open_client(entry).read("/v1/status")
+    if json:
+        print_json(answer)
+    else:
+        print(table(("name", "value"), flatten(answer).items()))
+
+
+def print_audit(limit: int, after: str, entry: str, json: bool) -> bool:
+    """Print changes and decisions.
+
+    :returns: whether there are more changes.
+    """
+    query = urlencode({"limit": limit, "after": after})
+    answer = open_client(entry).read(f"/v1/audit?{query}")
+    if json:
+        print_json(answer)
+    else:
+        print_trail(answer)
+    return bool(answer.get("more"))
+
+
+def print_explain(kind: str, name: str, entry: str, json: bool) -> None:
+    """Print what is known about an instance, pool or request."""
+    path = f"/v1/explain/{kind}/{quote(name, safe='')}"
+    answer = open_client(entry).read(path)
+    if json:
+        print_json(answer)
+        return
+    known = {
+        key: value
+        for key, value in answer.items()
+        if key not in ("changes", "decisions", "steps")
+    }
+    print(table(("name", "value"), flatten(known).items()))
+    if answer.get("steps"):
+        rows = [
+            (step["after_ms"], step["step"], step["detail"])
+            for step in answer["steps"]
+        ]
+        print(table(("after_ms", "step", "detail"), rows))
+    print_trail(answer)
+
+
+class ExplainGroup(Group):
+    """Show why something is as it is."""
+
+    @command
+    def instance(
+        self, name: str, *, entry: str = "", json: bool = False
+    ) -> None:
+        """Show changes and decisions about an instance.
+
+        :param name: name of the instance.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_explain("instance", name, entry, json)
+
+    @command
+    def pool(self, name: str, *, entry: str = "", json: bool = False) -> None:
+        """Show changes and decisions about a pool.
+
+        :param name: name of the pool.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_explain("pool", name, entry, json)
+
+    @command
+    def request(
+        self, name: str, *, entry: str = "", json: bool = False
+    ) -> None:
+        """Show the steps of a recent request.
+
+        :param name: id of the request, from the header Cyclamen-Request;
+            ask the entry that took it.
+        :param entry: HOST:PORT of an operators' server, several separated
+            by commas; by default CYCLAMENSCALE_ENTRY.
+        :param json: print JSON.
+        """
+        print_explain("request", name, entry, json)
