--- a/cyclamenscale/messages.py
+++ b/cyclamenscale/messages.py
@@ -84,10 +84,12 @@
 
     :ivar sender: entry that wrote it.
     :ivar revision: the configuration revision.
+    :ivar number: number of the barrier, echoed by :class:`ChangeAck`.
     """
 
     sender: str
     revision: int
+    number: int
 
 
 @message(4)
@@ -95,11 +97,13 @@
     """The sender has applied a revision.
 
     :ivar sender: acknowledging entry.
-    :ivar revision: highest revision it has applied.
+    :ivar revision: the revision of the notice.
+    :ivar number: number of the barrier that it answers.
     """
 
     sender: str
     revision: int
+    number: int
 
 
 @message(5)
--- a/cyclamenscale/model.py
+++ b/cyclamenscale/model.py
@@ -56,11 +56,14 @@
     :ivar pool: pool it belongs to.
     :ivar state: ``live``, ``draining``, ``rebooting``, ``moving`` or
         ``failed``; only ``live`` instances get new work.
+    :ivar maintained_s: end of its last planned outage, seconds since the
+        epoch.
     """
 
     name: str
     pool: str
     state: str = "live"
+    maintained_s: float = 0.0
 
 
 class ChangeRecord(NamedTuple):
@@ -91,12 +94,15 @@
     :ivar incarnation: grows with each start of that entry.
     :ivar address: ``host:port`` of its peer link.
     :ivar data_centre: where it runs.
+    :ivar leaving: whether an operator is removing it; it no longer admits
+        work, but still counts until it is gone from the list.
     """
 
     name: str
     incarnation: int
     address: str
     data_centre: str
+    leaving: bool = False
 
 
 class MemberList(NamedTuple):
--- /dev/null
+++ b/cyclamenscale/peers.py
@@ -0,0 +1,405 @@
+"""The link to the other entries.
+
+Every entry binds one ROUTER, which only receives, and connects one DEALER
+to each peer, which only sends; answers go over the DEALER of the answering
+entry. A connection that a middlebox forgot thus shows as missing answers
+to heartbeats, and a new DEALER replaces it. All sockets belong to the
+thread that calls :meth:`PeerLink.run`.
+"""
+
+import secrets
+import socket
+from collections import deque
+from collections.abc import Callable
+from threading import Event, Lock
+from typing import NamedTuple
+
+import zmq
+from loguru import logger
+
+from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.errors import FrameError
+from cyclamenscale.freshness import Freshness
+from cyclamenscale.membership import Membership
+from cyclamenscale.messages import (
+    Heartbeat,
+    Vouch,
+    decode_frame,
+    encode_frame,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.sync import ConfigSync
+from cyclamenscale.util.clock import Clock
+
+#: Messages that wait for the link's thread.
+OUTBOX_LIMIT = 20000
+
+#: Messages in each direction of one socket.
+HIGH_WATER_MARK = 2000
+
+#: Frames taken before heartbeats and outgoing messages get their turn.
+RECEIVE_LIMIT = 500
+
+#: Longest wait for a message, which bounds the time to notice a stop.
+POLL_S = 0.1
+
+#: Wait while changes are to be acknowledged.
+POLL_PENDING_S = 0.01
+
+Handler = Callable[[NamedTuple], None]
+
+
+class Dealer(NamedTuple):
+    """A sending socket.
+
+    :ivar socket: the DEALER.
+    :ivar made_s: when it was made.
+    """
+
+    socket: zmq.Socket
+    made_s: float
+
+
+class PeerLink:
+    """Sends messages to, and receives them from, the other entries.
+
+    :param settings: the whole settings.
+    :param metrics: counters.
+    :param clock: monotonic seconds.
+    :param table: this entry's configuration.
+    :param freshness: gets heartbeats sent and answered.
+    :param membership: the peers; made here if absent.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        metrics: Metrics,
+        clock: Clock,
+        table: ConfigTable,
+        freshness: Freshness,
+        membership: Membership | None = None,
+    ):
+        """Prepare; sockets are opened by :meth:`run`."""
+        self.name = settings.entry.name
+        self.settings = settings
+        self.metrics = metrics
+        self.clock = clock
+        self.table = table
+        self.freshness = freshness
+        self.membership = membership or Membership(settings, metrics, clock)
+        self.address = ""
+        self.ready = Event()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        # Guards outbox, woken. The sockets and the dealers belong to the
+        # thread of run().
+        self.lock = Lock()
+        self.outbox: deque[tuple[str | None, NamedTuple]] = deque()
+        self.woken = False
+        self.wake_reader, self.wake_writer = socket.socketpair()
+        self.wake_reader.setblocking(False)
+        self.wake_writer.setblocking(False)
+        self.handlers: dict[type, list[Handler]] = {}
+        # Replaced as a whole by block().
+        self.blocked_in: frozenset[str] = frozenset()
+        self.blocked_out: frozenset[str] = frozenset()
+        self.dealers: dict[str, Dealer] = {}
+        self.targets: dict[str, str] = {}
+        self.vouched_s: dict[str, float] = {}
+        # An answer to a heartbeat of the process before a restart must not
+        # match a heartbeat of this one.
+        self.sequence = secrets.randbits(48)
+        self.serial = 0
+        self.next_beat_s = 0.0
+        self.members_revision = -1
+        self.sync = ConfigSync(
+            settings, metrics, clock, table, freshness, self
+        )
+        self.on(Heartbeat, self.take_heartbeat)
+        self.on(Vouch, self.take_vouch)
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Register a handler, called in the link's thread.
+
+        :param kind: message type from :mod:`cyclamenscale.messages`.
+        :param handler: must not block; its failures are counted.
+        """
+        self.handlers.setdefault(kind, []).append(handler)
+
+    def send(self, name: str, message: NamedTuple) -> bool:
+        """Queue a message to an entry; this entry's own name is allowed.
+
+        :returns: whether it was queued; it may still be lost.
+        """
+        if name != self.name and not self.membership.address_of(name):
+            self.metrics.incr("peers.unknown_name")
+            return False
+        return self.enqueue(name, message)
+
+    def broadcast(self, message: NamedTuple) -> bool:
+        """Queue a message to all connected peers.
+
+        :returns: whether it was queued.
+        """
+        return self.enqueue(None, message)
+
+    def enqueue(self, name: str | None, message: NamedTuple) -> bool:
+        """Queue a message and wake up the link's thread."""
+        with self.lock:
+            if len(self.outbox) >= OUTBOX_LIMIT:
+                self.metrics.incr("peers.outbox_dropped")
+                return False
+            self.outbox.append((name, message))
+            wake, self.woken = not self.woken, True
+        if wake:
+            try:
+                self.wake_writer.send(b"\0")
+            except (BlockingIOError, OSError):
+                # A wake-up is on its way, or the link is closed.
+                pass
+        return True
+
+    def alive(self) -> list[str]:
+        """Return the names heard from within ``peers.dead_s``, and its own."""
+        return self.membership.alive()
+
+    def block(
+        self, name: str, inbound: bool = True, outbound: bool = True
+    ) -> None:
+        """Cut the link to a peer, for tests; both false heals it."""
+        self.blocked_in = (
+            self.blocked_in | {name} if inbound else self.blocked_in - {name}
+        )
+        self.blocked_out = (
+            self.blocked_out | {name}
+            if outbound
+            else self.blocked_out - {name}
+        )
+
+    def run(self, stop: Event) -> None:
+        """Serve the link until told to stop.
+
+        :param stop: ends the loop.
+        """
+        with zmq.Context() as context:
+            router = context.socket(zmq.ROUTER)
+            poller = zmq.Poller()
+            try:
+                self.bind(router)
+                poller.register(router, zmq.POLLIN)
+                poller.register(self.wake_reader, zmq.POLLIN)
+                self.next_beat_s = self.clock()
+                while not stop.is_set():
+                    self.step(context, router, poller)
+            finally:
+                self.ready.clear()
+                router.close(0)
+                for dealer in self.dealers.values():
+                    dealer.socket.close(0)
+                self.dealers.clear()
+
+    def bind(self, router: zmq.Socket) -> None:
+        """Bind the receiving socket, after a restart to the same port."""
+        limit_bytes = self.settings.peers.frame_limit_bytes
+        router.linger = 0
+        router.rcvhwm = HIGH_WATER_MARK
+        router.sndhwm = 1
+        # Above the limit of frames, which are counted and dropped; a frame
+        # above this one closes the connection before it is in memory.
+        router.maxmsgsize = 4 * limit_bytes
+        wanted = self.address or self.settings.entry.peers_address
+        router.bind(f"tcp://{wanted}")
+        self.address = router.last_endpoint.decode().removeprefix("tcp://")
+        self.membership.own_address = self.address
+        self.ready.set()
+
+    def step(
+        self, context: zmq.Context, router: zmq.Socket, poller: zmq.Poller
+    ) -> None:
+        """Wait for one thing to do, then do all that is due."""
+        now_s = self.clock()
+        if now_s >= self.next_beat_s:
+            self.next_beat_s = now_s + self.settings.peers.heartbeat_s
+            self.connect(context)
+            self.beat()
+        wait_s = min(self.next_beat_s - now_s, POLL_S)
+        if self.sync.pending:
+            wait_s = min(wait_s, POLL_PENDING_S)
+        ready = dict(poller.poll(max(0, int(wait_s * 1000))))
+        if self.wake_reader.fileno() in ready:
+            self.wake_reader.recv(4096)
+        self.flush()
+        if router in ready:
+            self.receive(router)
+        self.sync.tick()
+        if self.members_revision != self.table.view.members_revision:
+            view = self.table.view
+            self.members_revision = view.members_revision
+            self.membership.learn(view.members)
+            self.connect(context)
+
+    def connect(self, context: zmq.Context) -> None:
+        """Make and replace dealers so that each target has a working one."""
+        now_s = self.clock()
+        self.targets = self.membership.targets()
+        for address in [a for a in self.dealers if a not in self.targets]:
+            self.dealers.pop(address).socket.close(0)
+            self.vouched_s.pop(address, None)
+        for address in self.targets:
+            dealer = self.dealers.get(address)
+            if dealer is not None:
+                last_s = max(dealer.made_s, self.vouched_s.get(address, 0.0))
+                if now_s - last_s <= self.settings.peers.suspect_s:
+                    continue
+                self.metrics.incr("peers.reconnects")
+                dealer.socket.close(0)
+            self.dealers[address] = self.open_dealer(context, address, now_s)
+
+    def open_dealer(
+        self, context: zmq.Context, address: str, now_s: float
+    ) -> Dealer:
+        """Open a sending socket."""
+        dealer = context.socket(zmq.DEALER)
+        dealer.linger = 0
+        dealer.sndhwm = HIGH_WATER_MARK
+        dealer.rcvhwm = 1
+        # Nothing is queued before there is a connection: a message for a
+        # peer that is gone would reach its replacement much later.
+        dealer.immediate = 1
+        self.serial += 1
+        # A router refuses a second connection of the same identity, so each
+        # socket has its own.
+        identity = f"{self.name}/{self.freshness.incarnation}/{self.serial}"
+        dealer.identity = identity.encode()
+        dealer.connect(f"tcp://{address}")
+        return Dealer(dealer, now_s)
+
+    def beat(self) -> None:
+        """Send a heartbeat to every target."""
+        self.sequence += 1
+        view = self.table.view
+        beat = Heartbeat(
+            self.name,
+            self.freshness.incarnation,
+            self.address,
+            self.settings.entry.data_centre,
+            view.revision,
+            view.members_revision,
+            self.sequence,
+            self.freshness.may_admit(),
+        )
+        self.freshness.heartbeat_sent(self.sequence)
+        self.transmit(list(self.dealers), beat)
+
+    def flush(self) -> None:
+        """Send what waits in the outbox."""
+        with self.lock:
+            waiting, self.outbox = self.outbox, deque()
+            self.woken = False
+        for name, message in waiting:
+            if name == self.name:
+                self.dispatch(message)
+            elif name is None:
+                self.transmit(list(self.dealers), message)
+            else:
+                self.transmit([self.membership.address_of(name)], message)
+
+    def transmit(self, addresses: list[str], message: NamedTuple) -> None:
+        """Send a message to addresses; what cannot be sent is counted."""
+        frame = encode_frame(message)
+        if len(frame) > self.settings.peers.frame_limit_bytes:
+            self.metrics.incr("peers.dropped_out_size")
+            return
+        for address in addresses:
+            dealer = self.dealers.get(address)
+            if self.targets.get(address) in self.blocked_out:
+                self.metrics.incr("peers.dropped_out_blocked")
+            elif dealer is None:
+                self.metrics.incr("peers.dropped_out_unconnected")
+            else:
+                try:
+                    dealer.socket.send(frame, zmq.NOBLOCK)
+                    self.bytes_sent += len(frame)
+                except zmq.Again:
+                    self.metrics.incr("peers.dropped_out_full")
+
+    def receive(self, router: zmq.Socket) -> None:
+        """Take frames, at most so many that heartbeats are not late."""
+        for _ in range(RECEIVE_LIMIT):
+            try:
+                parts = router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self.bytes_received += sum(map(len, parts))
+            try:
+                self.take_frame(parts)
+            except FrameError as error:
+                self.metrics.incr(f"peers.dropped_in_{error.reason}")
+
+    def take_frame(self, parts: list[bytes]) -> None:
+        """Check the sender of a frame and dispatch its message.
+
+        :raises FrameError: if the frame is dropped.
+        """
+        if len(parts) != 2:
+            raise FrameError("garbage")
+        identity = parts[0].decode(errors="replace").split("/")
+        if len(identity) != 3 or not identity[1].isdecimal():
+            raise FrameError("garbage")
+        name, incarnation = identity[0], int(identity[1])
+        if name in self.blocked_in:
+            raise FrameError("blocked")
+        message = decode_frame(parts[1], self.settings.peers.frame_limit_bytes)
+        if message.sender != name:
+            raise FrameError("sender")
+        place = ("", "")
+        if isinstance(message, Heartbeat):
+            place = (message.address, message.data_centre)
+        if not self.membership.heard(name, incarnation, *place):
+            raise FrameError("superseded")
+        self.dispatch(message)
+
+    def dispatch(self, message: NamedTuple) -> None:
+        """Call the handlers of a message."""
+        handlers = self.handlers.get(type(message))
+        if not handlers:
+            self.metrics.incr("peers.unhandled")
+        for handler in handlers or ():
+            try:
+                handler(message)
+            except Exception:
+                self.metrics.incr("peers.handler_failures")
+                logger.exception(
+                    "handler of {} failed", type(message).__name__
+                )
+
+    def take_heartbeat(self, beat: Heartbeat) -> None:
+        """Answer a heartbeat with what this entry has applied."""
+        if beat.address not in self.targets:
+            # A new peer: connected to at the next heartbeat.
+            self.next_beat_s = min(self.next_beat_s, self.clock())
+        confirms = not self.freshness.recovering
+        view = self.table.view
+        self.transmit(
+            [beat.address],
+            Vouch(
+                self.name,
+                self.freshness.incarnation,
+                beat.sequence,
+                view.revision,
+                view.members_revision,
+                confirms,
+            ),
+        )
+        self.sync.catch_up(beat.sender, beat.applied)
+
+    def take_vouch(self, vouch: Vouch) -> None:
+        """Note that a peer answered, and what it has applied."""
+        address = self.membership.address_of(vouch.sender)
+        self.vouched_s[address] = self.clock()
+        self.freshness.vouched(
+            vouch.sender, vouch.sequence, vouch.applied, vouch.confirms
+        )
+        self.sync.catch_up(vouch.sender, vouch.applied)
--- /dev/null
+++ b/cyclamenscale/validation.py
@@ -0,0 +1,250 @@
+"""Validation of operators' input: pure checks with typed errors."""
+
+import re
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cyclamenscale.errors import FieldError
+from cyclamenscale.model import (
+    CLASS_PREFIX,
+    INSTANCE_PREFIX,
+    POOL_PREFIX,
+    ConfigView,
+    InstanceRecord,
+    PoolRecord,
+    RequestClass,
+)
+
+NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?")
+NAME_ALLOWED = (
+    "1 to 63 of a-z, 0-9, '.', '_', '-', beginning and ending with a "
+    "letter or digit"
+)
+VERSION_PATTERN = re.compile(r"[A-Za-z0-9._+-]{0,64}")
+
+#: Longest target; a longer one would never affect the order of requests.
+FINISH_WITHIN_LIMIT_MS = 7 * 86400 * 1000
+
+PREFIXES = {
+    "class": CLASS_PREFIX,
+    "pool": POOL_PREFIX,
+    "instance": INSTANCE_PREFIX,
+}
+RECORD_TYPES = {
+    "class": RequestClass,
+    "pool": PoolRecord,
+    "instance": InstanceRecord,
+}
+Record = RequestClass | PoolRecord | InstanceRecord
+
+
+class FieldErrors(ExceptionGroup):
+    """All faults of one input, each a :class:`FieldError`."""
+
+
+class Fields:
+    """Reads typed fields from a plain dict and gathers the faults.
+
+    :param where: path of the record, for the errors.
+    :param fields: the operator's input.
+    :param known: names of the fields that may be given.
+    """
+
+    def __init__(self, where: str, fields: Any, known: Iterable[str]):
+        """Note unknown fields as faults."""
+        self.where = where
+        self.faults: list[FieldError] = []
+        self.fields: dict = fields if isinstance(fields, dict) else {}
+        names = sorted(known)
+        if not isinstance(fields, dict):
+            self.fault("", fields, "an object with " + ", ".join(names))
+        for field in self.fields:
+            if field not in names:
+                allowed = "one of the fields " + ", ".join(names)
+                self.fault(str(field), self.fields[field], allowed)
+
+    def fault(self, field: str, found: Any, allowed: str) -> None:
+        """Note a fault."""
+        path = f"{self.where}.{field}" if field else self.where
+        self.faults.append(FieldError(path, found, allowed))
+
+    def take(
+        self,
+        field: str,
+        accept: Callable[[Any], bool],
+        allowed: str,
+        default: Any = None,
+    ) -> Any:
+        """Return a field's value, or note a fault.
+
+        :param accept: whether a value is allowed.
+        :param allowed: what is allowed, in words.
+        :param default: value of an absent field; None if it is required.
+        """
+        found = self.fields.get(field, default)
+        if found is None or not accept(found):
+            self.fault(field, found, allowed)
+            return default
+        return found
+
+    def finish(self) -> None:
+        """Raise all faults together.
+
+        :raises FieldErrors: if there is a fault.
+        """
+        if self.faults:
+            raise FieldErrors(f"{self.where} is not valid", self.faults)
+
+
+def is_name(value: Any) -> bool:
+    """Return whether a value is a valid name."""
+    return isinstance(value, str) and bool(NAME_PATTERN.fullmatch(value))
+
+
+def is_number(value: Any) -> bool:
+    """Return whether a value is a number, but not a truth value."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def start_fields(kind: str, name: Any, fields: Any) -> Fields:
+    """Begin the validation of a record: its name and its fields' names."""
+    reader = Fields(f"{kind} {name}", fields, RECORD_TYPES[kind]._fields)
+    if not is_name(name):
+        reader.fault("name", name, NAME_ALLOWED)
+    reader.take("name", lambda found: found == name, f"{name!r}", name)
+    return reader
+
+
+def parse_class(name: str, fields: dict, view: ConfigView) -> RequestClass:
+    """Validate a request class.
+
+    :param name: its name.
+    :param fields: the other fields, from the operator.
+    :param view: the configuration in force, for the pool's existence.
+    :raises FieldErrors: with all faults.
+    """
+    reader = start_fields("class", name, fields)
+    pool = reader.take("pool", view.pools.__contains__, allowed_pools(view))
+    finish_within_ms = reader.take(
+        "finish_within_ms",
+        lambda found: (
+            isinstance(found, int)
+            and is_number(found)
+            and 1 <= found <= FINISH_WITHIN_LIMIT_MS
+        ),
+        f"a whole number from 1 to {FINISH_WITHIN_LIMIT_MS}",
+    )
+    max_out_share = reader.take(
+        "max_out_share",
+        lambda found: is_number(found) and 0 <= found <= 1,
+        "a number from 0 to 1",
+    )
+    repeatable = reader.take(
+        "repeatable",
+        lambda found: isinstance(found, bool),
+        "true or false",
+        True,
+    )
+    reader.finish()
+    return RequestClass(
+        name, pool, finish_within_ms, float(max_out_share), repeatable
+    )
+
+
+def parse_pool(name: str, fields: dict, view: ConfigView) -> PoolRecord:
+    """Validate a pool; there is at most one spare pool.
+
+    :raises FieldErrors: with all faults.
+    """
+    reader = start_fields("pool", name, fields)
+    others = [
+        pool.name
+        for pool in view.pools.values()
+        if pool.spare and pool.name != name
+    ]
+    spare = reader.take(
+        "spare",
+        lambda found: isinstance(found, bool) and not (found and others),
+        f"false, as {others[0]!r} is the spare pool"
+        if others
+        else "true or false",
+        False,
+    )
+    version = reader.take(
+        "version",
+        lambda found: (
+            isinstance(found, str) and bool(VERSION_PATTERN.fullmatch(found))
+        ),
+        "at most 64 of letters, digits, '.', '_', '+', '-'",
+        "",
+    )
+    reader.finish()
+    return PoolRecord(name, spare, version)
+
+
+def parse_instance(
+    name: str, fields: dict, view: ConfigView
+) -> InstanceRecord:
+    """Validate an instance; operators choose its pool and nothing else.
+
+    The state of an existing instance is kept. An instance that moves to
+    another pool must be out of service: it is routed to while ``live``.
+
+    :raises FieldErrors: with all faults.
+    """
+    reader = start_fields("instance", name, fields)
+    old = view.instances.get(name)
+    kept = old or InstanceRecord(name, "")
+    for field in InstanceRecord._fields[2:]:
+        value = getattr(kept, field)
+        reader.take(
+            field,
+            lambda found, value=value: found == value,
+            f"{value!r}, as operators do not set it",
+            value,
+        )
+    pool = reader.take("pool", view.pools.__contains__, allowed_pools(view))
+    if old and pool and pool != old.pool and old.state == "live":
+        reader.fault(
+            "pool", pool, f"{old.pool!r} until the instance is drained"
+        )
+    reader.finish()
+    return kept._replace(pool=pool)
+
+
+PARSERS: dict[str, Callable[[str, dict, ConfigView], Record]] = {
+    "class": parse_class,
+    "pool": parse_pool,
+    "instance": parse_instance,
+}
+
+
+def allowed_pools(view: ConfigView) -> str:
+    """Name the pools that exist, at most ten of them."""
+    names = sorted(view.pools)
+    shown = ", ".join(names[:10]) + (", ..." if len(names) > 10 else "")
+    return f"an existing pool ({shown or 'there is none'})"
+
+
+def check_removal(kind: str, name: str, view: ConfigView) -> None:
+    """Check that a record may be removed.
+
+    :raises FieldErrors: if a pool still has classes or instances, or an
+        instance is in service.
+    """
+    reader = Fields(f"{kind} {name}", {}, ())
+    if kind == "pool":
+        for users, label in (
+            (view.classes, "classes"),
+            (view.instances, "instances"),
+        ):
+            found = sorted(
+                user.name for user in users.values() if user.pool == name
+            )
+            if found:
+                reader.fault(label, found[:10], "none before it is removed")
+    if kind == "instance" and name in view.instances:
+        state = view.instances[name].state
+        if state == "live":
+            reader.fault("state", state, "not 'live': drain it first")
+    reader.finish()
--- /dev/null
+++ b/test/nodes.py
@@ -0,0 +1,113 @@
+"""Entries without a request path, in one process, for tests."""
+
+from random import Random
+from threading import Event, Thread
+from time import monotonic
+
+from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.freshness import Freshness
+from cyclamenscale.members import Members, choose_incarnation
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.operations import Operations
+from cyclamenscale.peers import PeerLink
+from cyclamenscale.reader import Reader
+from cyclamenscale.settings import (
+    EntrySettings,
+    FreshnessSettings,
+    PeersSettings,
+    Settings,
+)
+from cyclamenscale.standin.memory import MemoryStore
+from cyclamenscale.standin.state import StoreState
+
+#: Bound of every wait in a test; a healthy run needs a fraction of it.
+WAIT_S = 20.0
+
+FAST = Settings(
+    peers=PeersSettings(heartbeat_s=0.05, suspect_s=0.3, dead_s=0.6),
+    freshness=FreshnessSettings(
+        limit_s=0.8, margin_s=0.2, accept_within_s=4.0
+    ),
+)
+
+
+class Node:
+    """One entry: configuration, link, reader, operations, member list."""
+
+    def __init__(
+        self,
+        name: str,
+        state: StoreState,
+        seeds: tuple[str, ...] = (),
+        settings: Settings = FAST,
+        incarnation: int | None = None,
+    ):
+        self.settings = settings._replace(
+            entry=EntrySettings(name=name),
+            peers=settings.peers._replace(seeds=seeds),
+        )
+        self.store = MemoryStore(state, self.settings)
+        self.metrics = Metrics(self.settings)
+        self.table = ConfigTable(self.settings, self.metrics)
+        self.freshness = Freshness(
+            self.settings,
+            monotonic,
+            self.table,
+            incarnation or choose_incarnation(self.store, name),
+        )
+        parts = (self.settings, self.metrics, monotonic)
+        self.link = PeerLink(*parts, self.table, self.freshness)
+        self.reader = Reader(
+            self.settings,
+            self.store,
+            self.table,
+            self.freshness,
+            self.metrics,
+            monotonic,
+            Random(1),
+        )
+        self.operations = Operations(
+            self.settings,
+            self.store,
+            self.table,
+            self.link,
+            self.freshness,
+            self.metrics,
+            monotonic,
+        )
+        self.members = Members(
+            self.settings, self.operations, self.freshness, self.metrics
+        )
+        self.stop = Event()
+        self.threads: list[Thread] = []
+
+    def start(self, reader: bool = True) -> "Node":
+        """Start the components; without the reader the store is not used."""
+        self.spawn(self.link.run, self.stop)
+        assert self.link.ready.wait(WAIT_S)
+        if reader:
+            self.spawn(self.reader.run, self.stop)
+            self.spawn(self.members.run, self.stop, self.link.address)
+        return self
+
+    def spawn(self, target, *args) -> None:
+        """Run a component in a thread."""
+        thread = Thread(target=target, args=args, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def end(self) -> None:
+        """Stop the components."""
+        self.stop.set()
+        for thread in self.threads:
+            thread.join(WAIT_S)
+            assert not thread.is_alive()
+
+
+def eventually(condition, what: str) -> None:
+    """Wait until a condition holds."""
+    wake = Event()
+    end_s = monotonic() + WAIT_S
+    while not condition():
+        assert monotonic() < end_s, f"not within {WAIT_S} s: {what}"
+        wake.wait(0.01)
