Add planned outages within a pool's budget

Cause: drains, reboots and version roll-outs must keep each pool's availability budget, also with two controllers, lost answers and targets that change meanwhile.

--- /dev/null
+++ b/cyclamenscale/control.py
@@ -0,0 +1,159 @@
+"""Which entry controls which pool: leases in the platform's store.
+
+A pool's control is the key ``control/POOL``, created by one entry under its
+lease. The key's create revision is the fencing token: each transaction of a
+controller compares it, and each action on an instance carries it.
+"""
+
+from collections.abc import Callable, Iterable
+
+from xxhash import xxh64_intdigest
+
+from cyclamenscale.budget import CONTROL_PREFIX, ControlRecord
+from cyclamenscale.errors import LeaseLostError, StoreError
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.store import Compare, Delete, Put, Store
+from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.codec import decode_record, encode_record
+
+#: Renewals in the time to live of the lease.
+RENEWALS_PER_LEASE = 4
+
+#: Share of the time to live after which an entry that could not renew its
+#: lease stops controlling; the store counts from an earlier moment.
+HOLD_SHARE = 0.75
+
+
+def preferred_holder(pool: str, alive: Iterable[str]) -> str:
+    """Return the entry that should control a pool (rendezvous hashing).
+
+    :param pool: name of the pool.
+    :param alive: names of the entries that are heard.
+    """
+    return max(
+        sorted(alive),
+        key=lambda name: xxh64_intdigest(f"{pool}/{name}".encode()),
+    )
+
+
+class ControlHolder:
+    """The pools that this entry controls.
+
+    Not safe for threads: one component calls :meth:`tick`.
+
+    :param settings: the whole settings.
+    :param store: the store.
+    :param incarnation: incarnation of this entry.
+    :param alive: returns the names of the entries that are heard.
+    :param metrics: counters.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        incarnation: int,
+        alive: Callable[[], Iterable[str]],
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        """Hold nothing."""
+        self.name = settings.entry.name
+        self.ttl_s = settings.fleet.control_lease_s
+        self.store = store
+        self.record = ControlRecord(self.name, incarnation)
+        self.alive = alive
+        self.metrics = metrics
+        self.clock = clock
+        self.lease = 0
+        self.renewed_s = 0.0
+        #: Fencing token of each pool that is held.
+        self.fences: dict[str, int] = {}
+
+    def fence(self, pool: str) -> int | None:
+        """Return the fencing token of a pool, or None if it is not held."""
+        held_s = self.clock() - self.renewed_s
+        if not self.lease or held_s > self.ttl_s * HOLD_SHARE:
+            return None
+        return self.fences.get(pool)
+
+    def tick(self, pools: Iterable[str]) -> None:
+        """Renew the lease, take free pools and hand over others.
+
+        :param pools: names of all pools.
+        """
+        try:
+            self.renew()
+            self.balance(set(pools))
+        except LeaseLostError:
+            self.metrics.incr("control.lease_lost")
+            self.drop()
+        except StoreError:
+            self.metrics.incr("control.store_errors")
+
+    def renew(self) -> None:
+        """Make or renew the lease when it is time."""
+        now_s = self.clock()
+        if not self.lease:
+            self.lease = self.store.lease_grant(self.ttl_s)
+            self.renewed_s = now_s
+        elif now_s - self.renewed_s >= self.ttl_s / RENEWALS_PER_LEASE:
+            self.store.lease_keep_alive(self.lease)
+            self.renewed_s = now_s
+
+    def balance(self, pools: set[str]) -> None:
+        """Take pools that nobody controls, release those of others."""
+        alive = set(self.alive()) | {self.name}
+        found = {
+            each.key.removeprefix(CONTROL_PREFIX): each
+            for each in self.store.range(CONTROL_PREFIX).items
+        }
+        self.fences = {
+            pool: each.create_revision
+            for pool, each in found.items()
+            if each.lease == self.lease
+        }
+        for pool in sorted(pools):
+            mine = preferred_holder(pool, alive) == self.name
+            if pool not in found:
+                holder = None
+            else:
+                key = CONTROL_PREFIX + pool
+                holder = decode_record(found[pool].value, ControlRecord, key)
+            if mine and holder is None:
+                self.take(pool)
+            elif pool in self.fences and not mine:
+                self.release(pool)
+
+    def take(self, pool: str) -> None:
+        """Take control of a pool that nobody controls."""
+        key = CONTROL_PREFIX + pool
+        put = Put(key, encode_record(self.record), self.lease)
+        result = self.store.txn([Compare(key, 0)], [put])
+        if result.succeeded:
+            self.fences[pool] = result.revision
+            self.metrics.incr("control.taken")
+
+    def release(self, pool: str) -> None:
+        """Hand a pool over to the entry that should control it."""
+        key = CONTROL_PREFIX + pool
+        fence = self.fences.pop(pool)
+        self.store.txn([Compare(key, fence)], [Delete(key)])
+        self.metrics.incr("control.released")
+
+    def drop(self) -> None:
+        """Forget a lease that no longer exists."""
+        self.lease = 0
+        self.fences = {}
+
+    def stop(self) -> None:
+        """Give everything back, so that others need not wait."""
+        lease, self.lease = self.lease, 0
+        self.fences = {}
+        if lease:
+            try:
+                self.store.lease_revoke(lease)
+            except StoreError:
+                self.metrics.incr("control.store_errors")
--- /dev/null
+++ b/cyclamenscale/controller.py
@@ -0,0 +1,417 @@
+"""Planned outages of the pools that this entry controls.
+
+Everything that has to last is in ``budget/POOL`` and in the instances'
+records; a controller can stop after any call and another one goes on.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+from cyclamenscale.budget import (
+    BUDGET_PREFIX,
+    CONTROL_PREFIX,
+    EXCLUDING,
+    PROBING,
+    REBOOTING,
+    BudgetRecord,
+    BudgetUse,
+    Outage,
+    budget_use,
+)
+from cyclamenscale.drain import (
+    Advance,
+    Facts,
+    Finish,
+    Reboot,
+    action_id,
+    next_step,
+)
+from cyclamenscale.errors import (
+    NotFoundError,
+    PlatformUnavailableError,
+    StaleFenceError,
+    StoreError,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import (
+    CLASS_PREFIX,
+    INSTANCE_PREFIX,
+    ConfigView,
+    InstanceRecord,
+)
+from cyclamenscale.platform import Platform, PlatformInstance
+from cyclamenscale.rollout import ROLLOUT_POLICIES, Candidate, candidates
+from cyclamenscale.settings import Settings
+from cyclamenscale.store import Compare, Put, Store
+from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.codec import decode_record, encode_record
+
+#: The store takes 128 comparisons in a transaction; some are needed for the
+#: budget, the control and the instance itself.
+COMPARES_LIMIT = 120
+
+#: Outages started in one transaction; the rest follow in the next tick.
+STARTS_LIMIT = 32
+
+
+class Surroundings(Protocol):
+    """What a controller asks of the rest of its entry."""
+
+    def view(self) -> ConfigView:
+        """Return the applied configuration."""
+
+    def revision_of(self, key: str) -> int:
+        """Return the applied revision of a configuration key."""
+
+    def may_admit(self) -> bool:
+        """Return whether the applied configuration is fresh."""
+
+    def announce(self, revision: int) -> None:
+        """Tell the other entries of a revision that was written."""
+
+    def in_force(self, revision: int) -> bool:
+        """Return whether a revision is in force at every entry."""
+
+    def in_progress(self, instance: str) -> int | None:
+        """Return the requests in progress at an instance, at all entries.
+
+        :returns: None while an entry has not answered.
+        """
+
+    def unavailable(self, pool: str) -> Iterable[str]:
+        """Return instances of a pool that failed or cannot be reached."""
+
+    def probe(self, instance: PlatformInstance) -> bool:
+        """Return whether an instance answers its health probe."""
+
+    def decided(self, what: str, subject: str, why: str, inputs: dict) -> None:
+        """Add a decision to the audit trail."""
+
+
+class LoadedBudget(NamedTuple):
+    """A pool's budget record as read.
+
+    :ivar pool: name of the pool.
+    :ivar fence: fencing token under which it was read.
+    :ivar revision: its ``mod_revision``, 0 if it does not exist.
+    :ivar record: its content.
+    """
+
+    pool: str
+    fence: int
+    revision: int
+    record: BudgetRecord
+
+    @property
+    def compares(self) -> list[Compare]:
+        """Return the comparisons that each write has to carry."""
+        return [
+            Compare(CONTROL_PREFIX + self.pool, self.fence),
+            Compare(BUDGET_PREFIX + self.pool, self.revision),
+        ]
+
+    def put(self, record: BudgetRecord) -> Put:
+        """Return the write of a new record."""
+        return Put(BUDGET_PREFIX + self.pool, encode_record(record))
+
+
+class PoolController:
+    """Advances and starts the planned outages of a pool.
+
+    Not safe for threads: one component calls :meth:`tick`.
+
+    :param settings: the whole settings.
+    :param store: the store.
+    :param platform: the platform.
+    :param surroundings: the rest of the entry.
+    :param metrics: counters.
+    :param wall_clock: seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        platform: Platform,
+        surroundings: Surroundings,
+        metrics: Metrics,
+        wall_clock: Clock,
+    ):
+        """Keep the parts."""
+        self.settings = settings.fleet
+        self.store = store
+        self.platform = platform
+        self.around = surroundings
+        self.metrics = metrics
+        self.wall_clock = wall_clock
+        self.policy = ROLLOUT_POLICIES[self.settings.rollout]
+
+    def tick(self, pool: str, fence: int) -> None:
+        """Do what can be done now for one pool.
+
+        :param pool: name of the pool.
+        :param fence: fencing token of its control.
+        """
+        try:
+            listed = {
+                each.name: each for each in self.platform.list_instances()
+            }
+            loaded = self.load(pool, fence)
+            for outage in loaded.record.outages:
+                if self.advance(loaded, outage, listed):
+                    loaded = self.load(pool, fence)
+            self.start_outages(loaded, listed)
+        except StoreError:
+            self.metrics.incr("controller.store_errors")
+        except PlatformUnavailableError:
+            self.metrics.incr("controller.platform_errors")
+        except StaleFenceError:
+            self.metrics.incr("controller.stale_fence")
+
+    def load(self, pool: str, fence: int) -> LoadedBudget:
+        """Read a pool's budget record."""
+        key = BUDGET_PREFIX + pool
+        _, found = self.store.get(key)
+        if found is None:
+            return LoadedBudget(pool, fence, 0, BudgetRecord())
+        record = decode_record(found.value, BudgetRecord, key)
+        return LoadedBudget(pool, fence, found.mod_revision, record)
+
+    def advance(
+        self,
+        loaded: LoadedBudget,
+        outage: Outage,
+        listed: dict[str, PlatformInstance],
+    ) -> bool:
+        """Carry out the next step of one outage.
+
+        :returns: whether the record was changed.
+        """
+        facts = self.facts(loaded.pool, outage, listed)
+        step = next_step(loaded.pool, outage, facts)
+        if isinstance(step, Advance):
+            return self.record_step(loaded, outage, step.outage)
+        if isinstance(step, Finish):
+            return self.finish(loaded, outage)
+        if isinstance(step, Reboot):
+            self.platform.reboot(
+                outage.instance, step.version, step.action_id, loaded.fence
+            )
+        return False
+
+    def facts(
+        self,
+        pool: str,
+        outage: Outage,
+        listed: dict[str, PlatformInstance],
+    ) -> Facts:
+        """Gather what the outage's step needs to know."""
+        if outage.step == EXCLUDING:
+            return Facts(in_force=self.excluded_everywhere(outage.instance))
+        try:
+            status = self.platform.status(outage.instance)
+        except NotFoundError:
+            return Facts()
+        if outage.step == PROBING:
+            shown = listed.get(outage.instance)
+            healthy = bool(
+                status.running and shown and self.around.probe(shown)
+            )
+            return Facts(probe=healthy, version=status.version)
+        if outage.step == REBOOTING:
+            done = status.last_action == action_id(pool, outage)
+            return Facts(rebooted=done and status.running)
+        entries = self.around.in_progress(outage.instance)
+        if entries is None:
+            return Facts()
+        return Facts(in_progress=max(entries, status.in_progress))
+
+    def excluded_everywhere(self, instance: str) -> bool:
+        """Return whether no entry sends new work to an instance.
+
+        The outage and the instance's record are written together, so the
+        revision of the record is that of the exclusion.
+        """
+        member = self.around.view().instances.get(instance)
+        if member is None or member.state == "live":
+            return False
+        revision = self.around.revision_of(INSTANCE_PREFIX + instance)
+        self.around.announce(revision)
+        return self.around.in_force(revision)
+
+    def record_step(
+        self, loaded: LoadedBudget, before: Outage, after: Outage
+    ) -> bool:
+        """Write the next step of an outage."""
+        pool = self.around.view().pools.get(loaded.pool)
+        record = loaded.record
+        if after.failed_probes > before.failed_probes:
+            retarget = bool(
+                pool and after.target and pool.version != after.target
+            )
+            if retarget:
+                after = after._replace(
+                    step=REBOOTING,
+                    target=pool.version,
+                    started_s=self.wall_clock(),
+                    failed_probes=0,
+                )
+            record = self.halt_if_bad(loaded.pool, record, after)
+        if after == before:
+            return False
+        put = loaded.put(record.with_outage(after))
+        done = self.store.txn(loaded.compares, [put]).succeeded
+        self.metrics.incr(
+            "controller.steps" if done else "controller.conflicts"
+        )
+        return done
+
+    def halt_if_bad(
+        self, pool: str, record: BudgetRecord, outage: Outage
+    ) -> BudgetRecord:
+        """Halt the roll-out of a version whose instances fail the probe."""
+        limit = self.settings.failed_probes_limit
+        if outage.purpose != "version" or outage.failed_probes < limit:
+            return record
+        if record.halted_version == outage.target:
+            return record
+        reason = (
+            f"instance {outage.instance} failed {outage.failed_probes} "
+            f"health probes with version {outage.target}"
+        )
+        self.metrics.incr("controller.rollouts_halted")
+        self.around.decided("rollout_halted", pool, reason, outage._asdict())
+        return record._replace(
+            halted_version=outage.target, halted_reason=reason
+        )
+
+    def finish(self, loaded: LoadedBudget, outage: Outage) -> bool:
+        """Return an instance to service and end its outage."""
+        key = INSTANCE_PREFIX + outage.instance
+        _, found = self.store.get(key)
+        if found is None:
+            put = loaded.put(loaded.record.without(outage.instance))
+            return self.store.txn(loaded.compares, [put]).succeeded
+        member = decode_record(found.value, InstanceRecord, key)
+        back = member._replace(state="live", maintained_s=self.wall_clock())
+        result = self.store.txn(
+            [*loaded.compares, Compare(key, found.mod_revision)],
+            [
+                loaded.put(loaded.record.without(outage.instance)),
+                Put(key, encode_record(back)),
+            ],
+        )
+        if result.succeeded:
+            self.metrics.incr("controller.outages_ended")
+            self.around.announce(result.revision)
+            self.around.decided(
+                "outage_ended",
+                outage.instance,
+                "the instance passed its health probe",
+                outage._asdict(),
+            )
+        return result.succeeded
+
+    def start_outages(
+        self, loaded: LoadedBudget, listed: dict[str, PlatformInstance]
+    ) -> None:
+        """Start the outages that the budget admits now."""
+        view = self.around.view()
+        pool = view.pools.get(loaded.pool)
+        # A stale view could miss a target that was lowered.
+        if pool is None or not self.around.may_admit():
+            return
+        members = [
+            each for each in view.instances.values() if each.pool == pool.name
+        ]
+        classes = [
+            each for each in view.classes.values() if each.pool == pool.name
+        ]
+        waiting = candidates(
+            pool, members, listed, loaded.record, self.wall_clock(), {}
+        )
+        if not waiting:
+            return
+        use = budget_use(
+            members, classes, loaded.record, self.out_of_service(pool, listed)
+        )
+        self.metrics.gauge(f"controller.out.{pool.name}", len(use.out))
+        busy = {
+            listed[each.instance].data_centre
+            for each in loaded.record.outages
+            if each.instance in listed
+        }
+        chosen = []
+        for each in self.policy(waiting, use, busy):
+            if use.admits(each.instance):
+                use = use._replace(out=use.out | {each.instance})
+                chosen.append(each)
+        decided_on = [CLASS_PREFIX + each.name for each in classes]
+        decided_on += [INSTANCE_PREFIX + each.name for each in members]
+        if chosen:
+            self.start(loaded, view, decided_on, chosen, use)
+
+    def out_of_service(
+        self, pool, listed: dict[str, PlatformInstance]
+    ) -> set[str]:
+        """Return instances that are missing, leaving or unreachable."""
+        members = {
+            name
+            for name, each in self.around.view().instances.items()
+            if each.pool == pool.name
+        }
+        gone = {
+            name
+            for name in members
+            if name not in listed or listed[name].leaving
+        }
+        return gone | (set(self.around.unavailable(pool.name)) & members)
+
+    def start(
+        self,
+        loaded: LoadedBudget,
+        view: ConfigView,
+        decided_on: list[str],
+        chosen: list[Candidate],
+        use: BudgetUse,
+    ) -> None:
+        """Start outages, if nothing they were decided on has changed.
+
+        :param decided_on: keys of the classes and instances that decided.
+            Beyond :data:`COMPARES_LIMIT` of them, only the first are
+            compared; classes come first.
+        :param use: the pool's budget with the chosen instances out.
+        """
+        record = loaded.record
+        puts = []
+        for each in chosen[:STARTS_LIMIT]:
+            outage = Outage(
+                each.instance,
+                each.purpose,
+                EXCLUDING,
+                self.wall_clock(),
+                target=each.target,
+            )
+            record = record.with_outage(outage)
+            member = view.instances[each.instance]
+            draining = encode_record(member._replace(state="draining"))
+            puts.append(Put(INSTANCE_PREFIX + each.instance, draining))
+        written = [put.key for put in puts]
+        others = [key for key in decided_on if key not in written]
+        compared = written + others[: COMPARES_LIMIT - len(written)]
+        compares = loaded.compares + [
+            Compare(key, self.around.revision_of(key)) for key in compared
+        ]
+        result = self.store.txn(compares, [loaded.put(record), *puts])
+        if not result.succeeded:
+            self.metrics.incr("controller.conflicts")
+            return
+        self.metrics.incr("controller.outages_started", len(puts))
+        self.around.announce(result.revision)
+        for each in chosen[:STARTS_LIMIT]:
+            self.around.decided(
+                "outage_started",
+                each.instance,
+                f"{each.purpose}: {len(use.out)} of {use.allowed} out",
+                each._asdict(),
+            )
--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -162,6 +162,21 @@
         self.reason = reason
 
 
+class NotFreshError(UserError):
+    """An entry may have missed accepted changes and shows no records.
+
+    :param reason: what is missing.
+    """
+
+    code = "not_fresh"
+    exit_status = 8
+
+    def __init__(self, reason: str):
+        """Keep the reason."""
+        super().__init__(f"the entry's configuration may be old: {reason}")
+        self.reason = reason
+
+
 class ServerFaultError(UserError):
     """An entry answered a command with a failure of its own.
 
--- a/cyclamenscale/platform.py
+++ b/cyclamenscale/platform.py
@@ -33,6 +33,23 @@
     version: str = ""
 
 
+class InstanceStatus(NamedTuple):
+    """State of one instance, read from the platform without lag.
+
+    :ivar name: name of the instance.
+    :ivar running: whether its server is up.
+    :ivar in_progress: requests that it is running now.
+    :ivar version: software version it runs.
+    :ivar last_action: id of the last action it completed, or empty.
+    """
+
+    name: str
+    running: bool
+    in_progress: int
+    version: str = ""
+    last_action: str = ""
+
+
 class Platform(ABC):
     """The calls that the system uses of the platform."""
 
@@ -43,6 +60,32 @@
         :raises PlatformUnavailableError: if there is no answer.
         """
 
+    @abstractmethod
+    def status(self, instance: str) -> InstanceStatus:
+        """Read the state of one instance.
+
+        :raises PlatformUnavailableError: if there is no answer.
+        :raises NotFoundError: if the platform does not know it.
+        """
+
+    @abstractmethod
+    def reboot(
+        self, instance: str, version: str, action_id: str, fence: int
+    ) -> None:
+        """Reboot an instance, with another version if one is given.
+
+        The same action id is carried out once, however often it is sent.
+
+        :param instance: name of the instance.
+        :param version: version to run from then on, empty for no change.
+        :param action_id: unique id of the action.
+        :param fence: fencing token of the pool's controller.
+        :raises StaleFenceError: if the platform has seen a higher token for
+            the instance's pool.
+        :raises PlatformUnavailableError: if there is no answer; the action
+            may have been taken and can be sent again.
+        """
+
 
 PLATFORM_ADAPTERS: dict[str, Callable[..., Platform]] = {}
 
--- /dev/null
+++ b/cyclamenscale/rollout.py
@@ -0,0 +1,155 @@
+"""Which instances of a pool to take out of service next.
+
+Pure; policies are kept in a registry so that each can be measured against
+the baseline ``one_at_a_time``.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from cyclamenscale.budget import BudgetRecord, BudgetUse
+from cyclamenscale.model import InstanceRecord, PoolRecord
+from cyclamenscale.platform import PlatformInstance
+
+#: Every instance is maintained once in 4 weeks (letter 1).
+MAINTENANCE_PERIOD_S = 28 * 86400.0
+
+#: Share of the period after which an instance is due. The last quarter is
+#: time to work through a pool whose budget allows one instance at a time.
+DUE_SHARE = 0.75
+
+
+class Candidate(NamedTuple):
+    """An instance that needs a planned outage.
+
+    :ivar instance: its name.
+    :ivar data_centre: its outer failure domain.
+    :ivar rack: its inner failure domain.
+    :ivar purpose: ``maintenance`` or ``version``.
+    :ivar target: version to reach, empty for maintenance.
+    :ivar maintained_s: end of its last outage, seconds since the epoch.
+    :ivar long_work: requests of long classes it is running.
+    """
+
+    instance: str
+    data_centre: str
+    rack: str
+    purpose: str
+    target: str
+    maintained_s: float
+    long_work: int = 0
+
+
+def candidates(
+    pool: PoolRecord,
+    members: Iterable[InstanceRecord],
+    listed: dict[str, PlatformInstance],
+    record: BudgetRecord,
+    now_s: float,
+    long_work: dict[str, int],
+) -> list[Candidate]:
+    """Return the instances of a pool that need a planned outage.
+
+    Instances that the platform does not list are left out: a reboot of a
+    missing instance would use the budget without an end.
+
+    :param pool: the pool, with its version target.
+    :param members: records of its instances.
+    :param listed: the platform's list by name.
+    :param record: outages in progress, and a halted version.
+    :param now_s: seconds since the epoch.
+    :param long_work: requests of long classes in progress, by instance.
+    """
+    found = []
+    for member in members:
+        shown = listed.get(member.name)
+        if shown is None or member.state != "live":
+            continue
+        if record.outage_of(member.name):
+            continue
+        purpose, target = _purpose(pool, member, shown, record, now_s)
+        if purpose:
+            found.append(
+                Candidate(
+                    member.name,
+                    shown.data_centre,
+                    shown.rack,
+                    purpose,
+                    target,
+                    member.maintained_s,
+                    long_work.get(member.name, 0),
+                )
+            )
+    return found
+
+
+def _purpose(
+    pool: PoolRecord,
+    member: InstanceRecord,
+    shown: PlatformInstance,
+    record: BudgetRecord,
+    now_s: float,
+) -> tuple[str, str]:
+    """Return purpose and target of an instance's next outage, if any."""
+    wanted = pool.version
+    if wanted and wanted != record.halted_version and shown.version != wanted:
+        return "version", wanted
+    if now_s - member.maintained_s >= MAINTENANCE_PERIOD_S * DUE_SHARE:
+        return "maintenance", ""
+    return "", ""
+
+
+RolloutPolicy = Callable[
+    [list[Candidate], BudgetUse, set[str]], list[Candidate]
+]
+
+ROLLOUT_POLICIES: dict[str, RolloutPolicy] = {}
+
+
+def rollout_policy(name: str) -> Callable[[RolloutPolicy], RolloutPolicy]:
+    """Register a policy that picks the next outages of a pool."""
+
+    def register(function: RolloutPolicy) -> RolloutPolicy:
+        ROLLOUT_POLICIES[name] = function
+        return function
+
+    return register
+
+
+@rollout_policy("one_at_a_time")
+def one_at_a_time(
+    waiting: list[Candidate], use: BudgetUse, busy_domains: set[str]
+) -> list[Candidate]:
+    """Start an outage only when none is in progress (baseline)."""
+    if use.out or use.allowed < 1 or not waiting:
+        return []
+    return [min(waiting, key=lambda each: (each.maintained_s, each.instance))]
+
+
+@rollout_policy("continuous")
+def continuous(
+    waiting: list[Candidate], use: BudgetUse, busy_domains: set[str]
+) -> list[Candidate]:
+    """Keep the budget filled, one data centre after the other.
+
+    Within a data centre, instances without long work go first, because a
+    straggler holds its instance's place in the budget until it ends.
+
+    :param waiting: instances that need an outage.
+    :param use: the pool's budget now.
+    :param busy_domains: data centres with an outage in progress.
+    """
+    free = use.allowed - len(use.out)
+    if free <= 0:
+        return []
+    ordered = sorted(
+        waiting,
+        key=lambda each: (
+            each.data_centre not in busy_domains,
+            each.data_centre if not busy_domains else "",
+            each.long_work,
+            each.maintained_s,
+            each.instance,
+        ),
+    )
+    return ordered[:free]
