--- a/cyclamenscale/ui/client.py
+++ b/cyclamenscale/ui/client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from io import BytesIO
 from typing import Any, NamedTuple
-from urllib.parse import quote
+from urllib.parse import urlencode
 
 import pycurl
 
@@ -171,6 +171,11 @@
             except AttemptError as error:
                 reason = error.reason
                 continue
+            last = address == self.addresses[-1]
+            if answer.status == 503 and not last:
+                # Busy, or without a fresh configuration.
+                reason = f"{address} answered 503"
+                continue
             return self.checked(answer, url)
         raise UnreachableError(", ".join(self.addresses), reason)
 
@@ -183,6 +188,7 @@
         why: str = "",
         change_id: str = "",
         expected_revision: int | None = None,
+        options: dict[str, str] | None = None,
     ) -> Any:
         """Make a change; repeats carry the same change id.
 
@@ -194,6 +200,7 @@
         :param change_id: id of the change, by default a new one.
         :param expected_revision: revision of the record that is changed, 0
             for a new one, ``None`` for any.
+        :param options: further parts of the query.
         :raises UserError: as the server reported it.
         :raises UnreachableError: if the change was sent to no entry.
         :raises OutcomeUnknownError: if it was sent and not answered.
@@ -207,7 +214,7 @@
             headers.append("If-None-Match: *")
         elif expected_revision is not None:
             headers.append(f'If-Match: "{expected_revision}"')
-        path += "?why=" + quote(why, safe="")
+        path += "?" + urlencode({"why": why, **(options or {})})
         body = None if fields is None else to_json(fields)
         reason, sent = "", False
         for address in self.addresses * CHANGE_ROUNDS:
--- a/cyclamenscale/ui/records.py
+++ b/cyclamenscale/ui/records.py
@@ -340,6 +340,7 @@
         *,
         why: str = "",
         who: str = "",
+        force: bool = False,
         entry: str = "",
         json: bool = False,
     ) -> None:
@@ -348,15 +349,20 @@
         :param name: name of the entry.
         :param why: reason, kept in the audit trail; required.
         :param who: operator; by default CYCLAMENSCALE_OPERATOR or the user.
+        :param force: go on without a majority, if the majority of the
+            entries is lost for good; unsafe if one of them still runs.
         :param entry: HOST:PORT of an operators' server, several separated
             by commas; by default CYCLAMENSCALE_ENTRY.
         :param json: print JSON.
         """
-        client = open_client(entry)
-        answer = client.change(
-            "DELETE", path_of("member", name), who=operator(who), why=why
+        answer = open_client(entry).change(
+            "DELETE",
+            path_of("member", name),
+            who=operator(who),
+            why=why,
+            options={"force": "yes"} if force else {},
         )
-        print_fields(answer, json)
+        print_accepted(answer, json)
 
 
 class ChangeGroup(Group):
