--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -104,10 +104,10 @@
 
         :param settings: path of an INI file.
         """
-        from cyclamenscale.entry import run
-
         checked = load(settings)
         set_up(checked)
+        from cyclamenscale.entry import run
+
         return run(checked)
 
     @command
