Run the whole path in one process

Cause: the parts were built side by side and nothing had carried a request from a caller to an endpoint yet. Conclusion: the path is complete and thin.

--- /dev/null
+++ b/cyclamenscale/entry.py
@@ -0,0 +1,322 @@
+"""An entry instance: its components, built from the settings.
+
+Every entry runs the same components; none is set aside for control.
+"""
+
+import signal
+import time
+from collections.abc import Callable
+from random import Random
+from threading import Event
+
+from loguru import logger
+
+import cyclamenscale.etcd  # noqa: F401  registers the store adapter
+import cyclamenscale.platform_http  # noqa: F401  registers the adapter
+from cyclamenscale.audit import AuditTrail
+from cyclamenscale.callers import CallerApp
+from cyclamenscale.claims import Claims
+from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.discovery import Discovery, LiveDirectory
+from cyclamenscale.dispatch import Dispatcher
+from cyclamenscale.endpoints import EndpointClient
+from cyclamenscale.errors import CyclamenError
+from cyclamenscale.fleet import EntrySurroundings, build_fleet
+from cyclamenscale.freshness import Freshness
+from cyclamenscale.members import Members, choose_incarnation
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.operations import Operations
+from cyclamenscale.operators import OperatorsApp
+from cyclamenscale.outliers import PoolsHealth
+from cyclamenscale.peers import PeerLink
+from cyclamenscale.platform import open_platform
+from cyclamenscale.reader import Reader
+from cyclamenscale.server import HttpServer
+from cyclamenscale.settings import Settings
+from cyclamenscale.slots import SlotBroker
+from cyclamenscale.store import open_store
+from cyclamenscale.supervisor import Supervisor
+from cyclamenscale.util.clock import monotonic
+
+#: How long the peer link may take to bind its address.
+BIND_S = 10.0
+
+
+class Entry:
+    """The components of one entry instance.
+
+    :param settings: the whole settings.
+    """
+
+    def __init__(self, settings: Settings):
+        """Build the components; nothing runs before :meth:`start`."""
+        self.settings = settings
+        self.metrics = Metrics(settings)
+        self.store = open_store(settings)
+        self.platform = open_platform(settings)
+        self.build_configuration()
+        self.build_path()
+        self.build_servers()
+        self.build_supervisor()
+
+    def build_configuration(self) -> None:
+        """Make what applies and changes the configuration."""
+        settings, metrics = self.settings, self.metrics
+        self.incarnation = choose_incarnation(self.store, settings.entry.name)
+        self.table = ConfigTable(settings, metrics)
+        self.freshness = Freshness(
+            settings, monotonic, self.table, self.incarnation
+        )
+        self.link = PeerLink(
+            settings, metrics, monotonic, self.table, self.freshness
+        )
+        self.reader = Reader(
+            settings,
+            self.store,
+            self.table,
+            self.freshness,
+            metrics,
+            monotonic,
+        )
+        self.operations = Operations(
+            settings,
+            self.store,
+            self.table,
+            self.link,
+            self.freshness,
+            metrics,
+            monotonic,
+        )
+        self.members = Members(
+            settings, self.operations, self.freshness, metrics
+        )
+
+    def build_path(self) -> None:
+        """Make what the requests of callers pass through."""
+        settings, metrics = self.settings, self.metrics
+        self.directory = LiveDirectory(monotonic, self.table)
+        self.health = PoolsHealth(settings.outliers)
+        self.discovery = Discovery(
+            settings,
+            self.platform,
+            self.table,
+            self.directory,
+            self.health,
+            self.link,
+            metrics,
+            monotonic,
+        )
+        self.slots = SlotBroker(
+            settings,
+            self.table,
+            lambda pool: self.health.pool(pool).usable(monotonic()),
+            lambda pool: list(self.directory.endpoints(pool)),
+            self.link,
+            metrics,
+        )
+        self.claims = Claims(settings, self.store, metrics)
+        self.endpoint_client = EndpointClient(settings, metrics)
+        self.dispatcher = Dispatcher(
+            settings,
+            self.table,
+            self.freshness,
+            self.directory,
+            self.health,
+            self.slots,
+            self.claims,
+            self.endpoint_client,
+            metrics,
+            monotonic,
+            Random(),
+        )
+
+    def build_servers(self) -> None:
+        """Make the servers of callers and operators."""
+        settings, metrics = self.settings, self.metrics
+        self.audit = AuditTrail(
+            settings,
+            self.store,
+            metrics,
+            self.table,
+            self.dispatcher.explain,
+        )
+        self.caller_app = CallerApp(
+            settings, self.dispatcher, self.freshness, metrics
+        )
+        self.callers = HttpServer(
+            settings.entry.callers_address,
+            self.caller_app,
+            settings.callers.threads,
+            settings.callers.queue_limit,
+            settings.callers.body_limit_bytes,
+            settings.callers.header_limit_bytes,
+            settings.callers.idle_s,
+            "callers",
+            metrics.incr,
+        )
+        operators_app = OperatorsApp(
+            settings,
+            metrics,
+            self.operations,
+            self.members,
+            self.table,
+            self.audit,
+            self.status,
+            self.freshness.reason,
+        )
+        self.operators = HttpServer(
+            settings.entry.operators_address,
+            operators_app,
+            settings.operators.threads,
+            body_limit_bytes=settings.operators.body_limit_bytes,
+            name="operators",
+            count=metrics.incr,
+        )
+
+    def build_supervisor(self) -> None:
+        """Put the components into the supervision tree.
+
+        They stop in reverse order, so what others need comes first.
+        """
+        settings, metrics = self.settings, self.metrics
+        surroundings = EntrySurroundings(
+            settings,
+            self.table,
+            self.freshness,
+            self.operations.barriers,
+            self.link,
+            self.dispatcher,
+            self.health,
+            self.audit,
+            monotonic,
+        )
+        self.fleet = build_fleet(
+            settings,
+            self.store,
+            self.platform,
+            surroundings,
+            self.incarnation,
+            metrics,
+            monotonic,
+            time.time,
+        )
+        self.supervisor = Supervisor(settings, metrics, settings.entry.name)
+        configuration = Supervisor(settings, metrics, "configuration")
+        configuration.add("peers", self.link.run)
+        configuration.add("reader", self.reader.run)
+        configuration.add("members", self.run_members)
+        path = Supervisor(settings, metrics, "path")
+        path.add("discovery", self.discovery.run)
+        path.add("slots", self.slots.run)
+        path.add("claims", self.claims.run)
+        self.supervisor.add_child(configuration)
+        self.supervisor.add_child(path)
+        self.supervisor.add("fleet", self.fleet.run)
+        self.children = [configuration, path]
+
+    def run_members(self, stop: Event) -> None:
+        """Join the member list once the peer link has its address."""
+        self.link.ready.wait(BIND_S)
+        self.members.run(stop, self.link.address)
+
+    def start(self) -> None:
+        """Start all components and listen."""
+        self.supervisor.start()
+        self.operators.start()
+        self.callers.start()
+        logger.info(
+            "entry {} started: callers {}, operators {}",
+            self.settings.entry.name,
+            self.callers.address,
+            self.operators.address,
+        )
+
+    def stop(self) -> None:
+        """Shut down gracefully: no request in progress is cut.
+
+        ``/health`` turns unready first, so that the balancer sends nothing
+        more before this entry refuses; then requests in progress end.
+        """
+        shutdown = self.settings.shutdown
+        logger.info("entry {} is stopping", self.settings.entry.name)
+        self.caller_app.ready = False
+        Event().wait(shutdown.unready_s)
+        self.dispatcher.begin_shutdown()
+        idle = self.dispatcher.wait_idle(shutdown.drain_s)
+        if not idle:
+            logger.warning(
+                "requests are still in progress after {} s", shutdown.drain_s
+            )
+        self.callers.stop(shutdown.unready_s)
+        try:
+            self.members.leave()
+        except CyclamenError as error:
+            # The name stays in the list; its replacement takes it over.
+            logger.warning("cannot leave the member list: {}", error)
+        self.operators.stop(shutdown.unready_s)
+        self.supervisor.stop()
+        self.endpoint_client.close()
+        logger.info("entry {} has stopped", self.settings.entry.name)
+
+    def status(self) -> dict:
+        """Return the state of this entry for ``status``."""
+        view = self.table.view
+        return {
+            "entry": self.settings.entry.name,
+            "admitting": self.freshness.may_admit(),
+            "not_admitting_because": self.freshness.reason(),
+            "revision": view.revision,
+            "fresh_age_s": round(self.freshness.age_s(), 3),
+            "members": [each.name for each in view.members.members],
+            "peers_alive": sorted(self.link.alive()),
+            "components": {
+                name: state
+                for each in (self.supervisor, *self.children)
+                for name, state in each.states().items()
+            },
+            "pools": {pool: self.pool_status(pool) for pool in view.pools},
+            "store_calls": self.store.counts(),
+            "peer_bytes_sent": self.link.bytes_sent,
+            "peer_bytes_received": self.link.bytes_received,
+            "metrics": self.metrics.snapshot(),
+        }
+
+    def pool_status(self, pool: str) -> dict:
+        """Return the state of a pool as this entry sees it."""
+        usable = self.health.pool(pool).usable(monotonic())
+        return {
+            "instances": sum(
+                each.pool == pool
+                for each in self.table.view.instances.values()
+            ),
+            "usable_slots": sum(usable.values()),
+            "controlled_here": self.fleet.holder.fence(pool) is not None,
+        }
+
+
+def run(settings: Settings) -> int:
+    """Run an entry until SIGTERM or SIGINT; the program of the daemon.
+
+    :param settings: the whole settings.
+    :returns: exit status.
+    :raises ComponentFailedError: if a component failed too often.
+    """
+    entry = Entry(settings)
+    stopping = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    entry.start()
+    wait_until(stopping, entry.supervisor.wait)
+    entry.stop()
+    return 0
+
+
+def wait_until(stopping: Event, ended: Callable[[float], bool]) -> None:
+    """Wait for a signal, or for the supervisor to end.
+
+    :param stopping: set by a signal.
+    :param ended: waits for the given seconds; raises if a component failed.
+    """
+    while not stopping.wait(0.2):
+        if ended(0.0):
+            return
--- /dev/null
+++ b/cyclamenscale/fleet.py
@@ -0,0 +1,230 @@
+"""Runs the pool controllers of an entry.
+
+Connects :mod:`cyclamenscale.control` and :mod:`cyclamenscale.controller`
+with the entry's configuration, barriers, peers and endpoints.
+"""
+
+from threading import Event, Lock
+
+import pycurl
+
+from cyclamenscale.audit import AuditTrail
+from cyclamenscale.barriers import Barriers
+from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.control import ControlHolder
+from cyclamenscale.controller import PoolController
+from cyclamenscale.dispatch import Dispatcher
+from cyclamenscale.freshness import Freshness
+from cyclamenscale.messages import InProgressReply, InProgressRequest
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import ConfigView
+from cyclamenscale.outliers import PoolsHealth
+from cyclamenscale.peers import PeerLink
+from cyclamenscale.platform import Platform, PlatformInstance
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import Clock
+
+PROBE_TIMEOUT_MS = 1000
+
+#: A question that not every entry has answered is asked again after this.
+ASK_AGAIN_S = 2.0
+
+
+class Question:
+    """A question to the peers about requests in progress."""
+
+    def __init__(self, token: int, asked_s: float):
+        """Begin without answers."""
+        self.token = token
+        self.asked_s = asked_s
+        self.replies: dict[str, int] = {}
+
+
+class EntrySurroundings:
+    """What the controllers see of this entry.
+
+    :param settings: the whole settings.
+    :param table: the applied configuration.
+    :param freshness: may this entry decide on it.
+    :param barriers: tells what is in force.
+    :param link: the peer link.
+    :param dispatcher: counts this entry's requests in progress.
+    :param health: health of the endpoints.
+    :param audit: gets the decisions.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        table: ConfigTable,
+        freshness: Freshness,
+        barriers: Barriers,
+        link: PeerLink,
+        dispatcher: Dispatcher,
+        health: PoolsHealth,
+        audit: AuditTrail,
+        clock: Clock,
+    ):
+        """Register for questions and answers of peers."""
+        self.name = settings.entry.name
+        self.table = table
+        self.freshness = freshness
+        self.barriers = barriers
+        self.link = link
+        self.dispatcher = dispatcher
+        self.health = health
+        self.audit = audit
+        self.clock = clock
+        # Guards token, questions.
+        self.lock = Lock()
+        self.token = 0
+        self.questions: dict[str, Question] = {}
+        link.on(InProgressRequest, self.take_request)
+        link.on(InProgressReply, self.take_reply)
+
+    def view(self) -> ConfigView:
+        """Return the applied configuration."""
+        return self.table.view
+
+    def revision_of(self, key: str) -> int:
+        """Return the applied revision of a configuration key."""
+        return self.table.revision_of(key)
+
+    def may_admit(self) -> bool:
+        """Return whether the applied configuration is fresh."""
+        return self.freshness.may_admit()
+
+    def announce(self, revision: int) -> None:
+        """Ask the other entries to acknowledge a revision."""
+        self.barriers.poll(revision)
+
+    def in_force(self, revision: int) -> bool:
+        """Return whether a revision is in force at every entry."""
+        return self.barriers.poll(revision) == "accepted"
+
+    def in_progress(self, instance: str) -> int | None:
+        """Return the requests in progress at an instance, at all entries.
+
+        An entry that is not heard is left out: it admits nothing any more,
+        and what it has in progress is in the platform's own count.
+        """
+        peers = set(self.link.alive()) - {self.name}
+        now_s = self.clock()
+        with self.lock:
+            question = self.questions.get(instance)
+            if question and peers <= question.replies.keys():
+                del self.questions[instance]
+                own = self.dispatcher.in_progress_at(instance)
+                return own + sum(question.replies.values())
+            if question and now_s - question.asked_s < ASK_AGAIN_S:
+                return None
+            self.token += 1
+            self.questions[instance] = Question(self.token, now_s)
+            token = self.token
+        self.link.broadcast(InProgressRequest(self.name, instance, token))
+        return None
+
+    def take_request(self, request: InProgressRequest) -> None:
+        """Answer a peer (thread of the peer link)."""
+        count = self.dispatcher.in_progress_at(request.endpoint)
+        reply = InProgressReply(
+            self.name, request.endpoint, request.token, count
+        )
+        self.link.send(request.sender, reply)
+
+    def take_reply(self, reply: InProgressReply) -> None:
+        """Note a peer's answer (thread of the peer link)."""
+        with self.lock:
+            question = self.questions.get(reply.endpoint)
+            if question and question.token == reply.token:
+                question.replies[reply.sender] = reply.count
+
+    def unavailable(self, pool: str) -> set[str]:
+        """Return instances that fail or cannot be reached."""
+        health = self.health.pool(pool)
+        now_s = self.clock()
+        return {
+            name
+            for name, state in list(health.states.items())
+            if state.excluded(now_s)
+        }
+
+    def probe(self, instance: PlatformInstance) -> bool:
+        """Return whether an instance answers its health page."""
+        handle = pycurl.Curl()
+        try:
+            handle.setopt(pycurl.URL, f"http://{instance.address}/health")
+            handle.setopt(pycurl.PROXY, "")
+            handle.setopt(pycurl.NOSIGNAL, 1)
+            handle.setopt(pycurl.TIMEOUT_MS, PROBE_TIMEOUT_MS)
+            handle.setopt(pycurl.WRITEFUNCTION, len)
+            handle.perform()
+            return handle.getinfo(pycurl.RESPONSE_CODE) == 200
+        except pycurl.error:
+            return False
+        finally:
+            handle.close()
+
+    def decided(self, what: str, subject: str, why: str, inputs: dict) -> None:
+        """Add a decision to the audit trail."""
+        self.audit.decided(what, subject, why, inputs, who=self.name)
+
+
+class Fleet:
+    """Component that takes control of pools and runs their controllers.
+
+    :param settings: the whole settings.
+    :param holder: the pools that this entry controls.
+    :param controller: advances and starts outages.
+    :param surroundings: the rest of the entry.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        holder: ControlHolder,
+        controller: PoolController,
+        surroundings: EntrySurroundings,
+    ):
+        """Keep the parts."""
+        self.tick_s = settings.fleet.tick_s
+        self.holder = holder
+        self.controller = controller
+        self.around = surroundings
+
+    def run(self, stop: Event) -> None:
+        """Decide at an interval until told to stop."""
+        while not stop.wait(self.tick_s):
+            pools = list(self.around.view().pools)
+            self.holder.tick(pools)
+            for pool in pools:
+                fence = self.holder.fence(pool)
+                if fence is not None:
+                    self.controller.tick(pool, fence)
+        self.holder.stop()
+
+
+def build_fleet(
+    settings: Settings,
+    store,
+    platform: Platform,
+    surroundings: EntrySurroundings,
+    incarnation: int,
+    metrics: Metrics,
+    clock: Clock,
+    wall_clock: Clock,
+) -> Fleet:
+    """Make the fleet component of an entry."""
+    holder = ControlHolder(
+        settings,
+        store,
+        incarnation,
+        surroundings.link.alive,
+        metrics,
+        clock,
+    )
+    controller = PoolController(
+        settings, store, platform, surroundings, metrics, wall_clock
+    )
+    return Fleet(settings, holder, controller, surroundings)
--- /dev/null
+++ b/cyclamenscale/local.py
@@ -0,0 +1,306 @@
+"""The main job: a small deployment in one process, and a run against it.
+
+``cyclamenscale local`` starts stand-ins for the platform and for endpoints,
+and two entries, as threads on loopback. It creates classes through the
+operators' interface, sends requests through both entries while one endpoint
+drains and one drops its connections, and accounts for each request against
+the endpoints' own logs.
+"""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+from threading import Event
+from typing import NamedTuple
+
+from cyclamenscale.entry import Entry
+from cyclamenscale.local_calls import CallResult, call
+from cyclamenscale.local_report import Report, account
+from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.settings import Settings
+from cyclamenscale.standin.endpoint import StandinEndpoint
+from cyclamenscale.standin.platform import PlatformServer
+from cyclamenscale.standin.store import StoreServer
+from cyclamenscale.ui.client import Client
+
+ENTRIES = 2
+ENDPOINTS = 4
+POOL = "planners"
+SPARE_POOL = "reporting"
+REQUESTS = 400
+CALLER_THREADS = 16
+SEED = 1
+
+#: How long the entries may take to admit work after the start.
+READY_S = 15.0
+
+
+class DemoClass(NamedTuple):
+    """A class of the run, and the requests that belong to it.
+
+    :ivar name: name of the class.
+    :ivar finish_within_ms: its target.
+    :ivar repeatable: whether a request may run more than once.
+    :ivar run_ms: shortest and longest run time.
+    :ivar share: share of the requests.
+    """
+
+    name: str
+    finish_within_ms: int
+    repeatable: bool
+    run_ms: tuple[int, int]
+    share: float
+
+
+CLASSES = (
+    DemoClass("replan", 2000, True, (5, 20), 0.6),
+    DemoClass("booking", 3000, False, (5, 20), 0.2),
+    DemoClass("rebuild", 20000, True, (150, 400), 0.2),
+)
+
+
+class Deployment:
+    """Stand-ins and entries on loopback, in this process.
+
+    :param entries: how many entries.
+    :param endpoints: how many endpoints in the pool of the run.
+    :param settings: settings that all entries share.
+    """
+
+    def __init__(
+        self,
+        entries: int = ENTRIES,
+        endpoints: int = ENDPOINTS,
+        settings: Settings | None = None,
+    ):
+        """Make the stand-ins; :meth:`start` makes the entries."""
+        self.base = settings or Settings()
+        self.count = entries
+        self.store = StoreServer()
+        self.platform = PlatformServer()
+        self.endpoints = {
+            name: StandinEndpoint(name)
+            for name in (f"node-{n}" for n in range(1, endpoints + 1))
+        }
+        self.entries: list[Entry] = []
+
+    def start(self) -> None:
+        """Start everything and wait until the entries admit work."""
+        self.store.start()
+        self.platform.start()
+        for number, (name, endpoint) in enumerate(self.endpoints.items()):
+            endpoint.start()
+            self.platform.add(
+                PlatformInstance(
+                    name,
+                    endpoint.address,
+                    f"dc-{number % 2 + 1}",
+                    f"rack-{number % 2 + 1}",
+                    endpoint.slots,
+                )
+            )
+        for number in range(1, self.count + 1):
+            self.add_entry(f"entry-{number}")
+        self.wait_admitting()
+
+    def add_entry(self, name: str) -> Entry:
+        """Start one more entry; it finds the others by the first one."""
+        seeds = tuple(each.link.address for each in self.entries[:1])
+        number = len(self.entries) % 2 + 1
+        base = self.base
+        entry = Entry(
+            base._replace(
+                entry=base.entry._replace(
+                    name=name,
+                    data_centre=f"dc-{number}",
+                    rack=f"rack-{number}",
+                    callers_address="127.0.0.1:0",
+                    operators_address="127.0.0.1:0",
+                    peers_address="127.0.0.1:0",
+                ),
+                peers=base.peers._replace(seeds=seeds),
+                store=base.store._replace(address=self.store.address),
+                platform=base.platform._replace(address=self.platform.address),
+            )
+        )
+        entry.start()
+        entry.link.ready.wait(READY_S)
+        self.entries.append(entry)
+        return entry
+
+    def wait_admitting(self, timeout_s: float = READY_S) -> None:
+        """Wait until all entries admit work.
+
+        :raises TimeoutError: if one does not in time.
+        """
+        until_s = time.monotonic() + timeout_s
+        for entry in self.entries:
+            while not entry.freshness.may_admit():
+                if time.monotonic() > until_s:
+                    raise TimeoutError(
+                        f"{entry.settings.entry.name} admits no work: "
+                        f"{entry.freshness.reason()}"
+                    )
+                entry.table.wait(entry.table.covered + 1, 0.05)
+
+    def configure(self, classes: tuple[DemoClass, ...] = CLASSES) -> None:
+        """Create pools, classes and membership as an operator does."""
+        client = Client([each.operators.address for each in self.entries])
+
+        def put(path: str, fields: dict) -> None:
+            client.change(
+                "PUT", f"/v1/{path}", fields, who="local", why="set-up"
+            )
+
+        put(f"pools/{POOL}", {})
+        put(f"pools/{SPARE_POOL}", {"spare": True})
+        for each in classes:
+            fields = {
+                "pool": POOL,
+                "finish_within_ms": each.finish_within_ms,
+                "max_out_share": 0.25,
+                "repeatable": each.repeatable,
+            }
+            put(f"classes/{each.name}", fields)
+        for name in self.endpoints:
+            put(f"instances/{name}", {"pool": POOL})
+
+    def wait_usable(self, timeout_s: float = READY_S) -> None:
+        """Wait until every entry can use all endpoints.
+
+        :raises TimeoutError: if one cannot in time.
+        """
+        until_s = time.monotonic() + timeout_s
+        for entry in self.entries:
+            while len(entry.directory.endpoints(POOL)) < len(self.endpoints):
+                if time.monotonic() > until_s:
+                    raise TimeoutError("the endpoints are not listed")
+                entry.table.wait(entry.table.covered + 1, 0.05)
+
+    def stop(self) -> None:
+        """Stop all entries gracefully, then the stand-ins."""
+        with ThreadPoolExecutor(max(1, len(self.entries))) as pool:
+            list(pool.map(lambda entry: entry.stop(), self.entries))
+        for endpoint in self.endpoints.values():
+            endpoint.stop()
+        self.platform.stop()
+        self.store.stop()
+
+
+class Job(NamedTuple):
+    """One request of the run.
+
+    :ivar number: its number.
+    :ivar demo: its class.
+    :ivar run_ms: how long it runs at the endpoint.
+    :ivar entry: index of the entry that gets it.
+    :ivar again: whether its key is sent again through the other entry.
+    """
+
+    number: int
+    demo: DemoClass
+    run_ms: int
+    entry: int
+    again: bool
+
+
+def make_jobs(count: int, entries: int, rng: Random) -> list[Job]:
+    """Draw the requests of the run."""
+    weights = [each.share for each in CLASSES]
+    jobs = []
+    for number in range(count):
+        demo = rng.choices(CLASSES, weights)[0]
+        jobs.append(
+            Job(
+                number,
+                demo,
+                rng.randint(*demo.run_ms),
+                rng.randrange(entries),
+                not demo.repeatable and rng.random() < 0.3,
+            )
+        )
+    return jobs
+
+
+def send(deployment: Deployment, job: Job) -> list[CallResult]:
+    """Send a request, and its key once more if the run says so."""
+    entries = deployment.entries
+    first = entries[job.entry]
+    results = [call(first.callers.address, job.number, job.demo, job.run_ms)]
+    if job.again:
+        other = entries[(job.entry + 1) % len(entries)]
+        results.append(
+            call(other.callers.address, job.number, job.demo, job.run_ms)
+        )
+    return results
+
+
+def disturb(deployment: Deployment, done: int, count: int) -> None:
+    """Drain one endpoint and make one drop its connections, in time."""
+    names = list(deployment.endpoints)
+    if done == count // 3:
+        deployment.endpoints[names[0]].leaving = True
+        deployment.platform.set_leaving(names[0], True)
+    elif done == count // 2:
+        deployment.endpoints[names[1]].drop = True
+        deployment.endpoints[names[1]].close_connections()
+
+
+def measure(deployment: Deployment) -> Report:
+    """Send all requests and account for them."""
+    jobs = make_jobs(REQUESTS, len(deployment.entries), Random(SEED))
+    results: list[CallResult] = []
+    with ThreadPoolExecutor(CALLER_THREADS) as pool:
+        futures = []
+        for done, job in enumerate(jobs):
+            if done >= CALLER_THREADS:
+                futures[done - CALLER_THREADS].result()
+            disturb(deployment, done, len(jobs))
+            futures.append(pool.submit(send, deployment, job))
+        for future in futures:
+            results += future.result()
+    runs = [run for each in deployment.endpoints.values() for run in each.log]
+    return account(results, runs, [each.name for each in CLASSES])
+
+
+def run(serve: bool = False) -> int:
+    """Run the main job, or serve until interrupted.
+
+    :param serve: keep the deployment up for callers and operators.
+    :returns: exit status, 0 if nothing was lost, doubled or cut short.
+    """
+    deployment = Deployment()
+    try:
+        deployment.start()
+        deployment.configure()
+        deployment.wait_usable()
+        if serve:
+            return serve_until_interrupted(deployment)
+        report = measure(deployment)
+    finally:
+        deployment.stop()
+    print(report.table())
+    for fault in report.faults:
+        print(fault)
+    return 1 if report.faults else 0
+
+
+def serve_until_interrupted(deployment: Deployment) -> int:
+    """Print the addresses and wait for an interrupt."""
+    entry = deployment.entries[0]
+    for each in deployment.entries:
+        print(
+            f"{each.settings.entry.name}: callers http://"
+            f"{each.callers.address} operators {each.operators.address}"
+        )
+    print(
+        f"try: curl -i -H 'Cyclamen-Class: replan' http://"
+        f"{entry.callers.address}/plan\n"
+        f"     cyclamenscale status --entry {entry.operators.address}",
+        flush=True,
+    )
+    try:
+        Event().wait()
+    except KeyboardInterrupt:
+        return 0
+    return 0
--- /dev/null
+++ b/cyclamenscale/platform_http.py
@@ -0,0 +1,128 @@
+"""Platform adapter that speaks JSON over HTTP.
+
+``GET /v1/instances`` is the lagging list; ``GET /v1/instances/NAME/status``
+is the state of one instance; ``POST /v1/instances/NAME/reboot`` is an
+action with its id and fencing token.
+"""
+
+from io import BytesIO
+from urllib.parse import quote
+
+import pycurl
+from msgspec import DecodeError, ValidationError, convert, json
+
+from cyclamenscale.errors import (
+    NotFoundError,
+    PlatformUnavailableError,
+    StaleFenceError,
+)
+from cyclamenscale.platform import (
+    InstanceStatus,
+    Platform,
+    PlatformInstance,
+    platform_adapter,
+)
+from cyclamenscale.settings import Settings
+
+
+@platform_adapter("http")
+class HttpPlatform(Platform):
+    """The platform behind an HTTP server.
+
+    May be called from several threads; each call has its own connection,
+    so that none is reused after a middlebox has lost its state.
+
+    :param settings: the whole settings.
+    """
+
+    def __init__(self, settings: Settings):
+        """Keep the address."""
+        self.settings = settings.platform
+
+    def list_instances(self) -> list[PlatformInstance]:
+        """Read the lagging list."""
+        status, body = self.call("list_instances", "GET", "/v1/instances")
+        if status != 200:
+            raise PlatformUnavailableError("list_instances", f"HTTP {status}")
+        return [
+            decode(each, PlatformInstance, "list_instances")
+            for each in parse(body, list, "list_instances")
+        ]
+
+    def status(self, instance: str) -> InstanceStatus:
+        """Read the state of one instance."""
+        path = f"/v1/instances/{quote(instance, safe='')}/status"
+        status, body = self.call("status", "GET", path)
+        if status == 404:
+            raise NotFoundError("instance", instance)
+        if status != 200:
+            raise PlatformUnavailableError("status", f"HTTP {status}")
+        return decode(parse(body, dict, "status"), InstanceStatus, "status")
+
+    def reboot(
+        self, instance: str, version: str, action_id: str, fence: int
+    ) -> None:
+        """Reboot an instance."""
+        path = f"/v1/instances/{quote(instance, safe='')}/reboot"
+        fields = {"version": version, "action_id": action_id, "fence": fence}
+        status, _ = self.call("reboot", "POST", path, json.encode(fields))
+        if status == 404:
+            raise NotFoundError("instance", instance)
+        if status == 409:
+            raise StaleFenceError(action_id.partition("/")[0], fence)
+        if status != 200:
+            raise PlatformUnavailableError("reboot", f"HTTP {status}")
+
+    def call(
+        self, operation: str, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Make one call.
+
+        :returns: HTTP status and body.
+        :raises PlatformUnavailableError: if there is no complete answer.
+        """
+        out = BytesIO()
+        curl = pycurl.Curl()
+        timeout_ms = int(self.settings.call_timeout_s * 1000)
+        try:
+            curl.setopt(pycurl.URL, f"http://{self.settings.address}{path}")
+            curl.setopt(pycurl.CUSTOMREQUEST, method)
+            curl.setopt(pycurl.PROXY, "")
+            curl.setopt(pycurl.NOSIGNAL, 1)
+            curl.setopt(pycurl.CONNECTTIMEOUT_MS, timeout_ms)
+            curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+            curl.setopt(pycurl.WRITEFUNCTION, out.write)
+            if body:
+                curl.setopt(pycurl.POSTFIELDS, body)
+            curl.setopt(pycurl.HTTPHEADER, ["Expect:"])
+            curl.perform()
+            return curl.getinfo(pycurl.RESPONSE_CODE), out.getvalue()
+        except pycurl.error as error:
+            reason = error.args[1] if len(error.args) > 1 else "no answer"
+            raise PlatformUnavailableError(operation, reason) from error
+        finally:
+            curl.close()
+
+
+def parse(body: bytes, kind: type, operation: str):
+    """Decode JSON of an answer.
+
+    :raises PlatformUnavailableError: if it is something else.
+    """
+    try:
+        return json.decode(body, type=kind)
+    except (DecodeError, ValidationError) as error:
+        raise PlatformUnavailableError(operation, "malformed") from error
+
+
+def decode(fields: dict, kind: type, operation: str):
+    """Make a record of a JSON object; unknown fields are ignored.
+
+    :raises PlatformUnavailableError: if a field is missing or of another
+        type.
+    """
+    try:
+        known = {key: fields[key] for key in kind._fields if key in fields}
+        return convert(list(kind(**known)), kind)
+    except (TypeError, ValidationError) as error:
+        raise PlatformUnavailableError(operation, str(error)) from error
