--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -51,36 +51,45 @@
         print(render_docs(Settings), end="")
 
 
+def finish(result: str | int | None) -> int | None:
+    """Print the report of a benchmark, or pass its exit status on."""
+    if isinstance(result, str):
+        print(result)
+        return None
+    return result
+
+
 class BenchGroup(Group):
     """Run a benchmark; it prints its report."""
 
     @command
     def policy(
-        self, *, seed: int = 1, deployment: str = "", report: str = ""
+        self, *, seed: int = 1, deployment: str = "szlifrail", report: str = ""
     ) -> int | None:
         """Compare slot policies in a simulation.
 
         :param seed: seed of the load.
-        :param deployment: deployment to simulate, empty for all.
-        :param report: file for the report, empty for standard output only.
+        :param deployment: deployment to simulate, szlifrail or kamnolom.
+        :param report: file for the report as a page, empty for none.
         """
         from cyclamenscale.bench.policy import run
 
-        return run(seed=seed, deployment=deployment, report=report)
+        found = run(seed=seed, deployment=deployment, report=report or None)
+        return finish(found)
 
     @command
     def path(self) -> int | None:
         """Measure the request path."""
         from cyclamenscale.bench.path import run
 
-        return run()
+        return finish(run())
 
     @command
     def capacity(self) -> int | None:
         """Measure the slopes behind docs/CAPACITY.md."""
         from cyclamenscale.bench.capacity import run
 
-        return run()
+        return finish(run())
 
 
 class Commands(Group):
