--- a/cyclamenscale/configuration.py
+++ b/cyclamenscale/configuration.py
@@ -113,14 +113,16 @@
             if upto < self.covered:
                 return Applied(0, self.view.revision)
             changed = self.replace(set(self.items), items, upto)
-            self.covered = upto
-            self.forgotten = max(self.forgotten, upto)
-            newest = max((change.revision for change in changed), default=0)
-            if changed:
+            if upto > self.covered:
                 # Intermediate changes are unknown, so that deltas cannot
-                # begin before this read.
+                # begin before this read. That holds even if nothing
+                # changed here: a key may have come and gone in between,
+                # and a peer may have seen it come.
                 self.log.clear()
                 self.floor = upto
+            self.covered = upto
+            self.forgotten = max(self.forgotten, upto)
+            newest = max((change.revision for change in changed), default=0)
             return self.publish(changed, newest)
 
     def repair(
