Take a cut-off answer to a change as no answer

Cause: libcurl accepts an answer that ends within its headers; the client reported it as a fault of the server, though the change may be in effect. Tables rounded seconds since the epoch to hours. Change: an answer without JSON and without an error status counts as lost, so that the change is repeated with its id; floats keep their digits. Conclusion: only a 503 that says not_run counts as a busy entry.

--- a/cyclamenscale/ui/client.py
+++ b/cyclamenscale/ui/client.py
@@ -40,7 +40,7 @@
     """An answer of a server.
 
     :ivar status: HTTP status.
-    :ivar body: decoded JSON.
+    :ivar body: decoded JSON, ``None`` if a refusal has none.
     """
 
     status: int
@@ -139,7 +139,10 @@
     try:
         return Answer(status, from_json(out.getvalue(), url))
     except FieldError as error:
-        raise ServerFaultError(url, status, "the answer is no JSON") from error
+        if status >= 300:
+            return Answer(status, None)
+        # libcurl takes an answer that ends within its headers as complete.
+        raise AttemptError("the answer is cut off or no JSON", True) from error
 
 
 class Client:
@@ -226,8 +229,7 @@
             except AttemptError as error:
                 reason, sent = error.reason, sent or error.sent
                 continue
-            if answer.status == 503 and not faults_of(answer):
-                # The server had no free thread and did not read the call.
+            if is_busy(answer):
                 reason = "the entry is busy"
                 continue
             if sent and answer.status >= 300:
@@ -250,6 +252,15 @@
         raise from_faults(faults, url, answer.status)
 
 
+def is_busy(answer: Answer) -> bool:
+    """Return whether a server had no free thread and did not read a call."""
+    return (
+        answer.status == 503
+        and isinstance(answer.body, dict)
+        and answer.body.get("outcome") == "not_run"
+    )
+
+
 def faults_of(answer: Answer) -> list[dict[str, Any]]:
     """Return the faults that an answer lists, if any."""
     body = answer.body if isinstance(answer.body, dict) else {}
--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from cyclamenscale.settings import Settings, load
+from cyclamenscale.settings import EntrySettings, Settings, load
 from cyclamenscale.settings_schema import render_docs, render_ini
 from cyclamenscale.ui.planning import Group, Plan, command, print_json
 from cyclamenscale.ui.records import (
@@ -127,7 +127,8 @@
         """
         from cyclamenscale.local import run
 
-        set_up(Settings())
+        # Both entries run in this process and share its log.
+        set_up(Settings(entry=EntrySettings(name="local")))
         return run(serve=serve)
 
     @command
--- a/cyclamenscale/util/tables.py
+++ b/cyclamenscale/util/tables.py
@@ -11,7 +11,8 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:.6g}"
+        # Not "g": it would round seconds since the epoch to hours.
+        return f"{value:.6f}".rstrip("0").rstrip(".")
     if isinstance(value, dict):
         return ", ".join(f"{k}={show(v)}" for k, v in value.items())
     if isinstance(value, list | tuple):
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -21,8 +21,9 @@
 )
 from cyclamenscale.settings import Settings
 from cyclamenscale.settings_schema import render_docs
-from cyclamenscale.ui.client import Answer, AttemptError, Client
+from cyclamenscale.ui.client import Answer, AttemptError, Client, attempt
 from cyclamenscale.util.log import set_up
+from cyclamenscale.util.tables import table
 from test.test_operators import Entry
 
 CHANGE = ["--why", "test", "--who", "Živa"]
@@ -182,6 +183,29 @@
     assert ui.run(["pool", "list", "--entry", closed_address()]) == 6
 
 
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 200 OK\r\n"])
+def test_a_call_knows_whether_it_was_sent(answer):
+    """Guards against a change that is repeated as if it had not been sent."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+
+        def serve():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65536)
+                connection.sendall(answer)
+
+        with ThreadPoolExecutor(1) as pool:
+            served = pool.submit(serve)
+            with pytest.raises(AttemptError) as caught:
+                attempt("PUT", url, b"{}", [], 30)
+            served.result(30)
+    assert caught.value.sent
+    with pytest.raises(AttemptError) as caught:
+        attempt("PUT", f"http://{closed_address()}/", b"{}", [], 30)
+    assert not caught.value.sent
+
+
 def scripted(*outcomes):
     """Return a call that gives outcomes in turn, and what it was sent."""
     calls, left = [], list(outcomes)
@@ -254,6 +278,16 @@
     assert json.loads(capsys.readouterr().out)["entry"]["name"] == "e7"
 
 
+def test_tables_keep_the_digits_of_times():
+    """Guards against times that are rounded to hours."""
+    rows = [("a", 1796374895.5), ("b", 2)]
+    assert table(("name", "s"), rows).splitlines() == [
+        "name             s",
+        "a     1796374895.5",
+        "b                2",
+    ]
+
+
 def test_a_failed_component_ends_with_a_status_of_its_own(capsys):
     """Guards against a broken entry that ends as if it had been stopped."""
     assert ui.report(ComponentFailedError("root/peers", 5)) == 70
