Put tracebacks into JSON log lines

Cause: with log.json the first failure of a component was logged without its traceback. Change: lines with an error carry a traceback field. Conclusion: both forms of the log name the place of a failure.

--- a/cyclamenscale/util/log.py
+++ b/cyclamenscale/util/log.py
@@ -2,6 +2,7 @@
 
 import sys
 from datetime import UTC
+from traceback import format_exception
 from typing import Any, TextIO
 
 from loguru import logger
@@ -27,6 +28,7 @@
     }
     if error:
         fields["error"] = f"{error.type.__name__}: {error.value}"
+        fields["traceback"] = "".join(format_exception(error.value))
     return json.encode(fields).decode()
 
 
