Add claims of requests that must not be repeated

Cause: a settlement or a booking must run at most once across all entries, also when the store's answer is lost or comes late.

A lost answer is resolved by sending the same step again; a record with the attempt's id then is its own. An abandoned claim is overwritten and not deleted, so that a delayed transaction still finds its comparison false. Leases live an hour longer than the retention, because claims of one hour share one.

Conclusion: the dispatcher can use it.

--- /dev/null
+++ b/cyclamenscale/claims.py
@@ -0,0 +1,445 @@
+"""At most once: claims and outcomes, committed to the store in groups."""
+
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from threading import Condition, Event
+
+from cyclamenscale.claim_records import (
+    ABANDONED,
+    CLAIMED,
+    DONE,
+    NEW,
+    ClaimRecord,
+    ClaimResult,
+    Held,
+    KnownOutcomes,
+    RecordedOutcome,
+    Step,
+    Verdict,
+    bounded,
+    choose,
+    existing,
+    judge,
+    store_key,
+    success,
+    transaction,
+)
+from cyclamenscale.errors import (
+    LeaseLostError,
+    StoreAnswerLostError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cyclamenscale.limits import backoff_s
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.store import Store
+from cyclamenscale.util.clock import Clock, monotonic
+
+QUEUE_LIMIT = 4096
+QUEUE_LIMIT_BYTES = 33554432
+OPEN_LIMIT = 20000
+KNOWN_LIMIT_BYTES = 16777216
+LEASE_SHARED_S = 3600
+# New claims wait for the next try while the store is down, so the back-off
+# stays well below the time that a caller waits.
+BACKOFF_MAX_S = 1.0
+FLUSH_LIMIT_S = 5.0
+STOP_POLL_S = 0.1
+
+
+class Claims:
+    """Makes claims, and records their outcomes.
+
+    :param settings: the whole settings.
+    :param store: the store.
+    :param metrics: counters ``claims.*``.
+    :param clock: monotonic seconds, for pacing and the age of leases.
+    :param wall: seconds since the epoch, for the records.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        metrics: Metrics,
+        clock: Clock = monotonic,
+        wall: Callable[[], float] = time.time,
+    ):
+        """Start without claims."""
+        self.settings = settings.claims
+        self.backoff = settings.limits._replace(
+            backoff_max_s=min(settings.limits.backoff_max_s, BACKOFF_MAX_S)
+        )
+        self.entry = settings.entry.name
+        self.store = store
+        self.metrics = metrics
+        self.clock = clock
+        self.wall = wall
+        self.random = random.Random()
+        # Guards queue, queue_bytes, flying, held, known and the fields of
+        # queued steps.
+        self.lock = Condition()
+        self.queue: deque[Step] = deque()
+        self.queue_bytes = 0
+        self.flying: list[Step] = []
+        self.held: OrderedDict[str, Held] = OrderedDict()
+        self.known = KnownOutcomes(
+            KNOWN_LIMIT_BYTES, self.settings.retention_s, clock
+        )
+        # The fields below belong to the committing thread.
+        self.lease = 0
+        self.lease_made_s = 0.0
+        self.failures = 0
+
+    def claim(
+        self,
+        class_name: str,
+        key: str,
+        digest: str,
+        attempt_id: str,
+        timeout_s: float,
+    ) -> ClaimResult:
+        """Claim a key for an attempt; blocks until the store has answered.
+
+        :param class_name: class of the request.
+        :param key: the caller's idempotency key.
+        :param digest: digest of the request.
+        :param attempt_id: unique id of this attempt.
+        :param timeout_s: how long to wait.
+        :raises StoreUnavailableError: if the key was certainly not claimed.
+        :raises StoreAnswerLostError: if the answer did not come in time;
+            the claim is abandoned in the background, so the attempt must
+            not run.
+        """
+        step = self.submit(class_name, key, digest, attempt_id)
+        try:
+            return step.result.result(timeout_s)
+        except FutureTimeoutError:
+            return self.give_up(step)
+
+    def submit(
+        self, class_name: str, key: str, digest: str, attempt_id: str
+    ) -> Step:
+        """Queue a claim; its result comes in ``Step.result``.
+
+        :raises StoreUnavailableError: if the queue is full.
+        """
+        name = store_key(class_name, key)
+        record = self.record_of(CLAIMED, class_name, attempt_id, digest)
+        step = Step(name, record, 0, self.clock())
+        with self.lock:
+            found = self.known.find(name)
+            if found:
+                self.metrics.incr("claims.known")
+                step.result.set_result(existing(found, digest))
+                return step
+            if not self.has_room(step):
+                self.metrics.incr("claims.refused")
+                raise StoreUnavailableError("claim", "the queue is full")
+            self.enqueue(step)
+        return step
+
+    def give_up(self, step: Step) -> ClaimResult:
+        """End the wait for a claim.
+
+        :returns: the result, if it came just now.
+        :raises StoreUnavailableError: if the claim was never sent.
+        :raises StoreAnswerLostError: if it may have been made; it is
+            abandoned in the background.
+        """
+        with self.lock:
+            if step.result.done():
+                return step.result.result()
+            self.metrics.incr("claims.given_up")
+            step.given_up = True
+            if step in self.flying:
+                raise StoreAnswerLostError("claim", "no answer in time")
+            self.dequeue(step)
+            if not step.in_doubt:
+                raise StoreUnavailableError("claim", "not sent in time")
+            self.enqueue(self.abandonment(step, step.revision))
+        raise StoreAnswerLostError("claim", "no answer in time")
+
+    def record(
+        self,
+        class_name: str,
+        key: str,
+        attempt_id: str,
+        outcome: RecordedOutcome,
+    ) -> None:
+        """Queue the outcome of an attempt that ran.
+
+        :param class_name: class of the request.
+        :param key: the caller's idempotency key.
+        :param attempt_id: the attempt, whose claim was ``new``.
+        :param outcome: its outcome; a body over
+            ``claims.outcome_limit_bytes`` is not kept.
+        """
+        kept = bounded(outcome, self.settings.outcome_limit_bytes)
+        self.settle(class_name, key, attempt_id, DONE, kept)
+
+    def abandon(self, class_name: str, key: str, attempt_id: str) -> None:
+        """Free the key of a request that certainly did not run."""
+        self.settle(class_name, key, attempt_id, ABANDONED, None)
+
+    def settle(
+        self,
+        class_name: str,
+        key: str,
+        attempt_id: str,
+        state: str,
+        outcome: RecordedOutcome | None,
+    ) -> None:
+        """Queue the last step of a claim."""
+        name = store_key(class_name, key)
+        with self.lock:
+            held = self.held.get(name)
+            if held is None or held.attempt_id != attempt_id:
+                # Forgotten because too many were open, or settled before.
+                # Without the digest a later request could not be compared.
+                self.metrics.incr("claims.not_held")
+                return
+            del self.held[name]
+            record = self.record_of(
+                state, class_name, attempt_id, held.digest, outcome
+            )
+            step = Step(name, record, held.revision, self.clock())
+            if state == DONE:
+                self.known.add(step)
+            if not self.has_room(step):
+                self.metrics.incr("claims.dropped")
+                return
+            self.enqueue(step)
+
+    def run(self, stop: Event) -> None:
+        """Commit groups until told to stop, then what is queued.
+
+        :param stop: set when all requests have ended.
+        """
+        interval_s = 1.0 / self.settings.writes_per_s
+        while not stop.is_set():
+            with self.lock:
+                if not self.queue:
+                    self.lock.wait(STOP_POLL_S)
+                    continue
+            self.commit_once()
+            stop.wait(max(interval_s, self.pause_s()))
+        until_s = self.clock() + FLUSH_LIMIT_S
+        while self.queue and not self.failures and self.clock() < until_s:
+            self.commit_once()
+            time.sleep(interval_s)
+        if self.queue:
+            self.metrics.incr("claims.left_at_stop", len(self.queue))
+
+    def pause_s(self) -> float:
+        """Return how long to wait after failures, in seconds."""
+        if not self.failures:
+            return 0.0
+        return backoff_s(self.backoff, self.failures, self.random)
+
+    def commit_once(self) -> None:
+        """Send one transaction with the oldest steps."""
+        with self.lock:
+            self.drop_expired()
+            group = choose(self.queue, self.settings.group_limit)
+            for step in group:
+                self.dequeue(step)
+            self.flying = group
+        if not group:
+            return
+        verdicts: dict[str, Verdict] = {}
+        refused: StoreError | None = None
+        sent = False
+        try:
+            self.renew_lease()
+            sent = True
+            verdicts = self.send(group)
+            self.failures = 0
+        except StoreAnswerLostError:
+            self.failures += 1
+            self.metrics.incr("claims.answers_lost")
+        except LeaseLostError:
+            sent = False
+            self.failures += 1
+            self.lease = 0
+            self.metrics.incr("claims.leases_lost")
+        except StoreError as error:
+            # This transaction certainly has no effect.
+            sent = False
+            self.failures += 1
+            self.metrics.incr("claims.store_failures")
+            refused = error
+        finally:
+            # Also on an unexpected error: the steps are then in doubt.
+            self.finish(group, verdicts, sent, refused)
+
+    def renew_lease(self) -> None:
+        """Make a lease for the claims of the next hour.
+
+        It lives an hour longer than claims are kept, so that the last claim
+        that hangs on it is kept long enough.
+
+        :raises StoreUnavailableError: if it could not be made; an answer
+            that is lost leaves a lease without keys, which is harmless.
+        """
+        now_s = self.clock()
+        if self.lease and now_s - self.lease_made_s < LEASE_SHARED_S:
+            return
+        try:
+            ttl_s = self.settings.retention_s + LEASE_SHARED_S
+            self.lease = self.store.lease_grant(ttl_s)
+        except StoreAnswerLostError as error:
+            raise StoreUnavailableError("lease_grant", str(error)) from error
+        self.lease_made_s = now_s
+
+    def send(self, group: list[Step]) -> dict[str, Verdict]:
+        """Send the transaction of a group and judge its steps."""
+        compares, writes = transaction(group, self.lease)
+        self.metrics.incr("claims.transactions")
+        self.metrics.incr("claims.steps", len(group))
+        result = self.store.txn(compares, writes)
+        if result.succeeded:
+            return {step.key: success(step, result.revision) for step in group}
+        self.metrics.incr("claims.transactions_failed")
+        return {
+            step.key: judge(step, result.current.get(step.key))
+            for step in group
+        }
+
+    def finish(
+        self,
+        group: list[Step],
+        verdicts: dict[str, Verdict],
+        sent: bool,
+        refused: StoreError | None,
+    ) -> None:
+        """Settle the steps of a transaction or queue them again."""
+        with self.lock:
+            self.flying = []
+            for step in reversed(group):
+                step.tries += 1
+                verdict = verdicts.get(step.key)
+                if verdict is None:
+                    step.in_doubt = step.in_doubt or sent
+                elif not verdict.settled:
+                    # The comparison was answered: no transaction that
+                    # carried the old revision can take effect any more,
+                    # unless the revision is the same.
+                    step.in_doubt = (
+                        step.in_doubt and verdict.revision == step.revision
+                    )
+                    step.revision = verdict.revision
+                if verdict and verdict.settled:
+                    self.apply(step, verdict)
+                elif step.is_claim and not step.in_doubt and refused:
+                    self.refuse(step, refused)
+                elif step.given_up and step.in_doubt:
+                    self.enqueue(self.abandonment(step, step.revision))
+                elif not step.given_up:
+                    self.enqueue(step, first=True)
+            if refused and self.failures > 1:
+                self.refuse_queued(refused)
+
+    def apply(self, step: Step, verdict: Verdict) -> None:
+        """Take note of a step that is settled."""
+        if verdict.lost and step.record.state == DONE:
+            self.metrics.incr("claims.conflicts")
+        if verdict.result is None:
+            return
+        if verdict.result.state == NEW:
+            if step.given_up:
+                self.enqueue(self.abandonment(step, verdict.revision))
+                return
+            self.hold(step, verdict.revision)
+        if not step.given_up:
+            self.metrics.incr(f"claims.{verdict.result.state}")
+            waited_ms = (self.clock() - step.queued_s) * 1000
+            self.metrics.timing("claims.wait_ms", waited_ms)
+            step.result.set_result(verdict.result)
+
+    def refuse(self, step: Step, error: StoreError) -> None:
+        """Tell the caller that a claim was certainly not made."""
+        if not step.given_up:
+            reason = StoreUnavailableError("claim", str(error))
+            step.result.set_exception(reason)
+
+    def refuse_queued(self, error: StoreError) -> None:
+        """Refuse the claims behind a group while the store is down.
+
+        Outcomes that are sent again would fill all groups, and claims would
+        wait until they time out.
+        """
+        for step in [s for s in self.queue if s.is_claim]:
+            if not step.in_doubt:
+                self.dequeue(step)
+                self.refuse(step, error)
+
+    def abandonment(self, step: Step, revision: int) -> Step:
+        """Return the step that abandons a claim."""
+        record = step.record._replace(
+            state=ABANDONED, entry=self.entry, when_s=self.wall()
+        )
+        return Step(step.key, record, revision, self.clock())
+
+    def hold(self, step: Step, revision: int) -> None:
+        """Remember a claim until it is settled."""
+        self.held[step.key] = Held(
+            step.record.attempt_id, step.record.digest, revision
+        )
+        if len(self.held) > OPEN_LIMIT:
+            self.held.popitem(last=False)
+            self.metrics.incr("claims.forgotten")
+
+    def drop_expired(self) -> None:
+        """Drop outcomes that could not be stored during their retention.
+
+        A claim stays until its caller gives up, however late: the caller
+        may be paused.
+        """
+        oldest_s = self.clock() - self.settings.retention_s
+        for step in [s for s in self.queue if s.queued_s < oldest_s]:
+            if not step.is_claim:
+                self.dequeue(step)
+                self.metrics.incr("claims.dropped")
+
+    def has_room(self, step: Step) -> bool:
+        """Return whether the queue takes another step."""
+        room_bytes = QUEUE_LIMIT_BYTES - self.queue_bytes
+        return len(self.queue) < QUEUE_LIMIT and len(step.value) <= room_bytes
+
+    def enqueue(self, step: Step, first: bool = False) -> None:
+        """Add a step to the queue."""
+        if first:
+            self.queue.appendleft(step)
+        else:
+            self.queue.append(step)
+        self.queue_bytes += len(step.value)
+        self.lock.notify()
+
+    def dequeue(self, step: Step) -> None:
+        """Take a step off the queue."""
+        self.queue.remove(step)
+        self.queue_bytes -= len(step.value)
+
+    def record_of(
+        self,
+        state: str,
+        class_name: str,
+        attempt_id: str,
+        digest: str,
+        outcome: RecordedOutcome | None = None,
+    ) -> ClaimRecord:
+        """Make a record with this entry's name and time."""
+        return ClaimRecord(
+            attempt_id,
+            digest,
+            state,
+            class_name,
+            self.entry,
+            self.wall(),
+            outcome,
+        )
