Add the request path from callers to endpoints

Cause: callers need one interface that runs a request on a pool's endpoints and says truthfully whether it ran.

--- /dev/null
+++ b/cyclamenscale/callers.py
@@ -0,0 +1,182 @@
+"""The callers' HTTP interface, a WSGI application on werkzeug."""
+
+from collections.abc import Callable, Iterable
+from math import ceil
+from urllib.parse import urlsplit
+
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.http import HTTP_STATUS_CODES
+from werkzeug.wrappers import Request
+
+from cyclamenscale.admission import CallerAnswer, CallerRequest
+from cyclamenscale.dispatch import Dispatcher, FreshnessPort
+from cyclamenscale.endpoints import Answer, Headers
+from cyclamenscale.errors import (
+    BadRequestError,
+    KeyPendingError,
+    KeyReusedError,
+    NotRunError,
+    RequestError,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.codec import to_json
+
+HEALTH_PATH = "/health"
+
+# Of an endpoint's answer, these belong to the entry's own message.
+OWN_ANSWER_HEADERS = frozenset(
+    ("content-length", "cyclamen-outcome", "cyclamen-request")
+    + ("cyclamen-wait-ms", "cyclamen-refused", "cyclamen-leaving")
+)
+
+
+def status_of(error: RequestError) -> int:
+    """Return the HTTP status of a refusal."""
+    if isinstance(error, BadRequestError):
+        return 400
+    if isinstance(error, KeyReusedError):
+        return 422
+    if isinstance(error, KeyPendingError):
+        return 409
+    if isinstance(error, NotRunError):
+        return 503
+    return 504
+
+
+def refusal_body(request_id: str, error: RequestError) -> bytes:
+    """Return the JSON body of a refusal."""
+    return to_json(
+        {
+            "outcome": error.outcome,
+            "reason": error.reason,
+            "message": error.message,
+            "request": request_id,
+            "retry_after_s": error.retry_after_s,
+        }
+    )
+
+
+class CallerApp:
+    """WSGI application for callers.
+
+    :param settings: the whole settings.
+    :param dispatcher: handles the requests.
+    :param freshness: may this entry admit work.
+    :param metrics: counters.
+
+    :ivar ready: set to false at the begin of a shutdown: ``/health`` turns
+        503 and the balancer moves on, while requests are still admitted.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        freshness: FreshnessPort,
+        metrics: Metrics,
+    ):
+        """Keep the parts."""
+        self.settings = settings
+        self.dispatcher = dispatcher
+        self.freshness = freshness
+        self.metrics = metrics
+        self.ready = True
+
+    def __call__(
+        self, environ: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        request = Request(environ)
+        if request.path == HEALTH_PATH:
+            status, headers, body = self.health()
+        else:
+            try:
+                caller_request = self.read(request)
+            except RequestError as error:
+                answer = CallerAnswer("", error.outcome, 0, None, error)
+            else:
+                answer = self.dispatcher.handle(caller_request)
+            status, headers, body = render(answer, request.method)
+        self.metrics.incr(f"callers.status.{status}")
+        names = {name.lower() for name, _ in headers}
+        if "content-length" not in names and status not in (204, 304):
+            headers += (("Content-Length", str(len(body))),)
+        phrase = HTTP_STATUS_CODES.get(status, "Unknown")
+        start_response(f"{status} {phrase}", list(headers))
+        return [] if request.method == "HEAD" else [body]
+
+    def health(self) -> tuple[int, Headers, bytes]:
+        """Answer the balancer."""
+        reason = ""
+        if not self.ready or self.dispatcher.shutting_down:
+            reason = "shutting_down"
+        elif not self.freshness.may_admit():
+            reason = "not_fresh"
+        body = to_json({"admitting": not reason, "reason": reason})
+        headers = (
+            ("Content-Type", "application/json"),
+            ("Cache-Control", "no-store"),
+        )
+        return 503 if reason else 200, headers, body
+
+    def read(self, request: Request) -> CallerRequest:
+        """Read a request with its whole body.
+
+        :raises BadRequestError: if the body is too large or incomplete, or
+            the target is no path.
+        """
+        limit_bytes = self.settings.callers.body_limit_bytes
+        request.max_content_length = limit_bytes
+        length = request.content_length
+        try:
+            body = request.get_data(cache=False)
+        except RequestEntityTooLarge as error:
+            raise BadRequestError(
+                "body", f"{length} bytes", f"at most {limit_bytes} bytes"
+            ) from error
+        except (HTTPException, OSError, ValueError) as error:
+            raise BadRequestError("body", "incomplete", "all of it") from error
+        if length is not None and len(body) != length:
+            raise BadRequestError("body", len(body), f"{length} bytes")
+        environ = request.environ
+        target = environ.get("REQUEST_URI") or request.full_path
+        if not target.startswith("/"):
+            parts = urlsplit(target)
+            target = (parts.path or "/") + (
+                "?" + parts.query if parts.query else ""
+            )
+        return CallerRequest(
+            request.method, target, tuple(request.headers.items()), body
+        )
+
+
+def render(answer: CallerAnswer, method: str) -> tuple[int, Headers, bytes]:
+    """Turn the end of a request into status, headers and body."""
+    headers = [
+        ("Cyclamen-Request", answer.request_id),
+        ("Cyclamen-Outcome", answer.outcome),
+        ("Cyclamen-Wait-Ms", str(answer.wait_ms)),
+    ]
+    if answer.answer is not None:
+        return render_answer(answer.answer, headers, method)
+    error = answer.error
+    if error.retry_after_s is not None:
+        # Retry-After has whole seconds; the body has the exact value.
+        seconds = max(1, ceil(error.retry_after_s))
+        headers.append(("Retry-After", str(seconds)))
+    headers.append(("Content-Type", "application/json"))
+    body = refusal_body(answer.request_id, error)
+    return status_of(error), tuple(headers), body
+
+
+def render_answer(
+    answer: Answer, headers: list[tuple[str, str]], method: str
+) -> tuple[int, Headers, bytes]:
+    """Add an endpoint's headers to the entry's own."""
+    for name, value in answer.headers:
+        own = name.lower() in OWN_ANSWER_HEADERS
+        # The length of an answer to HEAD is that of the body not sent.
+        if not own or (method == "HEAD" and name.lower() == "content-length"):
+            headers.append((name, value))
+    return answer.status, tuple(headers), answer.body
--- /dev/null
+++ b/cyclamenscale/channel.py
@@ -0,0 +1,189 @@
+"""One HTTP connection to an endpoint, driven through pycurl.
+
+A channel is a curl handle with its own multi handle. The multi interface is
+used because libcurl's blocking call has no bound on the first byte of an
+answer, and reports progress only once a second.
+"""
+
+import select
+import socket
+from contextlib import suppress
+
+import pycurl
+
+from cyclamenscale.settings import EndpointsSettings
+from cyclamenscale.util.clock import Clock
+
+# Unanswered keep-alive probes after which the kernel ends a connection.
+KEEPALIVE_PROBES = 3
+
+
+class Channel:
+    """One connection to one endpoint, used for one request at a time.
+
+    :param settings: bounds of connections.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, settings: EndpointsSettings, clock: Clock):
+        """Make the handles; the connection is opened by the first call."""
+        self.settings = settings
+        self.clock = clock
+        self.curl = pycurl.Curl()
+        self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.on_socket)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self.on_timer)
+        self.watched: dict[int, int] = {}
+        self.timer_at: float | None = None
+        self.used = False
+        self.idle_since = 0.0
+
+    def on_socket(self, what: int, fd: int, multi, data) -> None:
+        """Note which events libcurl waits for on a socket."""
+        if what == pycurl.POLL_REMOVE:
+            self.watched.pop(fd, None)
+            return
+        events = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            events |= select.POLLIN
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            events |= select.POLLOUT
+        self.watched[fd] = events
+
+    def on_timer(self, timeout_ms: int) -> None:
+        """Note when libcurl wants to be called without an event."""
+        self.timer_at = (
+            None if timeout_ms < 0 else self.clock() + timeout_ms / 1000
+        )
+
+    def open_socket(self, purpose: int, address) -> socket.socket:
+        """Open a socket that notices a dead connection by itself."""
+        sock = socket.socket(
+            address.family, address.socktype, address.protocol
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        user_timeout_ms = int(self.settings.user_timeout_s * 1000)
+        for option, value in (
+            (socket.TCP_NODELAY, 1),
+            (socket.TCP_KEEPIDLE, self.settings.keepalive_idle_s),
+            (socket.TCP_KEEPINTVL, self.settings.keepalive_interval_s),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, user_timeout_ms),
+        ):
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+        return sock
+
+    def run(self, exchange: "Exchange", first_byte_s: float | None) -> int:
+        """Drive the transfer to its end.
+
+        :param exchange: the exchange that the curl handle is set up for.
+        :param first_byte_s: bound on the wait for the first byte of the
+            answer, None for no bound.
+        :returns: 0 if it ended well, else libcurl's code.
+        """
+        multi = self.multi
+        first_byte_at = None
+        if first_byte_s is not None:
+            first_byte_at = self.clock() + first_byte_s
+        multi.add_handle(self.curl)
+        multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        try:
+            while True:
+                _, good, bad = multi.info_read()
+                if good:
+                    return 0
+                if bad:
+                    return bad[0][1]
+                now_s = self.clock()
+                if exchange.status_line:
+                    first_byte_at = None
+                if first_byte_at is not None and now_s >= first_byte_at:
+                    exchange.late = True
+                    return pycurl.E_OPERATION_TIMEDOUT
+                self.step(now_s, first_byte_at)
+        finally:
+            multi.remove_handle(self.curl)
+
+    def step(self, now_s: float, until_s: float | None) -> None:
+        """Wait for events, and hand them to libcurl."""
+        ends = [at for at in (self.timer_at, until_s) if at is not None]
+        wait_ms = 1000
+        if ends:
+            wait_ms = max(0, min(1000, int((min(ends) - now_s) * 1000) + 1))
+        # poll() has no limit on file descriptors, as select() has at 1024.
+        poller = select.poll()
+        for fd, events in self.watched.items():
+            poller.register(fd, events)
+        ready = poller.poll(wait_ms)
+        for fd, events in ready:
+            mask = 0
+            if events & (select.POLLIN | select.POLLHUP):
+                mask |= pycurl.CSELECT_IN
+            if events & select.POLLOUT:
+                mask |= pycurl.CSELECT_OUT
+            if events & (select.POLLERR | select.POLLNVAL):
+                mask |= pycurl.CSELECT_ERR
+            self.multi.socket_action(fd, mask)
+        timer_at = self.timer_at
+        if timer_at is not None and self.clock() >= timer_at:
+            self.timer_at = None
+            self.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+
+    def close(self) -> None:
+        """Close the connection."""
+        with suppress(pycurl.error):
+            self.multi.remove_handle(self.curl)
+        self.curl.close()
+        self.multi.close()
+
+
+class Exchange:
+    """State of one request on a channel, filled by libcurl's callbacks.
+
+    :param limit_bytes: bound on the size of the answer's body.
+    """
+
+    def __init__(self, limit_bytes: int):
+        """Start before the connection is made."""
+        self.limit_bytes = limit_bytes
+        self.sent = False
+        self.resends = 0
+        self.status_line = ""
+        self.headers: list[tuple[str, str]] = []
+        self.parts: list[bytes] = []
+        self.size_bytes = 0
+        self.too_large = False
+        self.late = False
+
+    def before_send(self, *connection) -> int:
+        """Allow the request to be sent once.
+
+        libcurl calls this once the connection stands, before the first byte
+        of the request, and again when it wants to resend the request
+        because a reused connection was closed before the first byte of the
+        answer. The endpoint may have run the request by then.
+        """
+        if self.sent:
+            self.resends += 1
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
+    def on_header(self, line: bytes) -> None:
+        """Collect the headers of the last response, not those of a 1xx."""
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text.startswith("HTTP/"):
+            self.status_line = text
+            self.headers = []
+        elif ":" in text:
+            name, _, value = text.partition(":")
+            self.headers.append((name.strip(), value.strip()))
+
+    def on_body(self, data: bytes) -> int:
+        """Collect the body up to the limit."""
+        self.size_bytes += len(data)
+        if self.size_bytes > self.limit_bytes:
+            self.too_large = True
+            return 0
+        self.parts.append(data)
+        return len(data)
--- /dev/null
+++ b/cyclamenscale/endpoints.py
@@ -0,0 +1,344 @@
+"""Client to endpoints: connections, and checks that an answer is whole.
+
+A connection belongs to one :class:`Channel`, and a channel belongs to one
+endpoint. Idle channels wait in a stack per endpoint. Their number is bounded
+by the requests that ran at the endpoint at once, and thereby by its slots.
+"""
+
+from threading import Lock
+from typing import NamedTuple
+
+import pycurl
+
+from cyclamenscale.channel import Channel, Exchange
+from cyclamenscale.errors import EndpointError, EndpointRefusedError
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import Endpoint
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import Clock, monotonic
+
+Headers = tuple[tuple[str, str], ...]
+
+# RFC 9110, section 7.6.1, and the headers that the client writes itself.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+OWN_HEADERS = frozenset(
+    ("host", "content-length", "expect", "cyclamen-request")
+)
+
+# Idle channels kept per endpoint; an endpoint has about 8 slots.
+IDLE_LIMIT = 64
+
+REASONS = {
+    pycurl.E_COULDNT_CONNECT: "connect_failed",
+    pycurl.E_PARTIAL_FILE: "answer_truncated",
+    pycurl.E_GOT_NOTHING: "connection_closed",
+    pycurl.E_SEND_ERROR: "send_failed",
+    pycurl.E_RECV_ERROR: "receive_failed",
+    pycurl.E_OPERATION_TIMEDOUT: "timeout",
+    pycurl.E_ABORTED_BY_CALLBACK: "reused_connection_closed",
+    pycurl.E_WRITE_ERROR: "answer_too_large",
+}
+
+
+class EndpointRequest(NamedTuple):
+    """A request as it is sent to an endpoint.
+
+    :ivar request_id: unique id, sent as ``Cyclamen-Request``.
+    :ivar method: HTTP method.
+    :ivar target: path and query, starting with a slash.
+    :ivar headers: headers of the caller, in order.
+    :ivar body: the whole body.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b""
+
+
+class Answer(NamedTuple):
+    """A complete answer of an endpoint.
+
+    :ivar status: HTTP status.
+    :ivar headers: end-to-end headers, in order.
+    :ivar body: the whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drop hop-by-hop headers, those named by ``Connection`` included."""
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in dropped
+    )
+
+
+def header(headers: Headers, name: str) -> str:
+    """Return the first header of that name, or an empty string."""
+    wanted = name.lower()
+    for key, value in headers:
+        if key.lower() == wanted:
+            return value
+    return ""
+
+
+class EndpointClient:
+    """Sends requests to endpoints.
+
+    :param settings: the whole settings.
+    :param metrics: counters.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, settings: Settings, metrics: Metrics, clock: Clock = monotonic
+    ):
+        """Start without connections."""
+        self.settings = settings.endpoints
+        self.metrics = metrics
+        self.clock = clock
+        # Guards idle.
+        self.lock = Lock()
+        self.idle: dict[str, list[Channel]] = {}
+
+    def call(
+        self,
+        endpoint: Endpoint,
+        request: EndpointRequest,
+        fresh: bool,
+        first_byte_s: float | None,
+        total_s: float,
+    ) -> Answer:
+        """Send a request and read its whole answer.
+
+        :param endpoint: where to send it.
+        :param request: what to send.
+        :param fresh: use a new connection, and close it afterwards.
+        :param first_byte_s: bound on the wait for the first byte of the
+            answer on a reused connection, which may be half-open; None for
+            no bound. A new connection has none, so that slow work that was
+            cut once is not cut again.
+        :param total_s: bound on the whole exchange.
+        :returns: the complete answer.
+        :raises EndpointRefusedError: if the endpoint did not run it.
+        :raises EndpointError: if there is no complete answer.
+        """
+        channel = None if fresh else self.check_out(endpoint.address)
+        if channel is None:
+            channel = Channel(self.settings, self.clock)
+        exchange = Exchange(self.settings.answer_limit_bytes)
+        keep = False
+        try:
+            self.prepare(channel, exchange, endpoint, request, fresh, total_s)
+            limit_s = first_byte_s if channel.used else None
+            code = channel.run(exchange, limit_s)
+            if code:
+                reason = self.reason(channel, exchange, code)
+                if channel.used:
+                    # The other idle connections passed the same middlebox
+                    # or the same process, and are likely dead as well.
+                    self.forget(endpoint.address)
+                raise EndpointError(endpoint.name, reason, exchange.sent)
+            answer = self.complete(endpoint, request, channel, exchange)
+            keep = not fresh
+        except EndpointError as error:
+            self.metrics.incr(f"endpoints.{error.reason}")
+            raise
+        finally:
+            if keep:
+                self.check_in(endpoint.address, channel)
+            else:
+                channel.close()
+        if answer.status == 503 and header(answer.headers, "Cyclamen-Refused"):
+            leaving = header(answer.headers, "Cyclamen-Leaving") == "1"
+            self.metrics.incr("endpoints.refused")
+            raise EndpointRefusedError(endpoint.name, leaving)
+        return answer
+
+    def prepare(
+        self,
+        channel: Channel,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        request: EndpointRequest,
+        fresh: bool,
+        total_s: float,
+    ) -> None:
+        """Set all options; ``reset`` keeps the channel's connection."""
+        sent_headers = [
+            f"{name}: {value}" if value else f"{name};"
+            for name, value in end_to_end(request.headers)
+            if name.lower() not in OWN_HEADERS
+        ]
+        sent_headers += [f"Cyclamen-Request: {request.request_id}", "Expect:"]
+        curl = channel.curl
+        curl.reset()
+        for option, value in (
+            (pycurl.URL, f"http://{endpoint.address}{request.target}"),
+            (pycurl.PATH_AS_IS, 1),
+            (pycurl.PROTOCOLS, pycurl.PROTO_HTTP),
+            (pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1),
+            (pycurl.FOLLOWLOCATION, 0),
+            (pycurl.PROXY, ""),
+            (pycurl.NOPROXY, "*"),
+            (pycurl.NETRC, 0),
+            (pycurl.NOSIGNAL, 1),
+            (pycurl.HTTP_CONTENT_DECODING, 0),
+            (pycurl.MAXCONNECTS, 1),
+            (pycurl.FRESH_CONNECT, int(fresh)),
+            (pycurl.FORBID_REUSE, int(fresh)),
+            (pycurl.MAXAGE_CONN, max(1, int(self.settings.reuse_idle_s))),
+            (
+                pycurl.CONNECTTIMEOUT_MS,
+                int(self.settings.connect_timeout_s * 1000),
+            ),
+            (pycurl.TIMEOUT_MS, max(1, int(total_s * 1000))),
+            (pycurl.OPENSOCKETFUNCTION, channel.open_socket),
+            (pycurl.PREREQFUNCTION, exchange.before_send),
+            (pycurl.HEADERFUNCTION, exchange.on_header),
+            (pycurl.WRITEFUNCTION, exchange.on_body),
+        ):
+            curl.setopt(option, value)
+        if request.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        elif request.body or request.method in ("POST", "PUT", "PATCH"):
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+            if not header(request.headers, "Content-Type"):
+                # libcurl would claim a form.
+                sent_headers.append("Content-Type:")
+        else:
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        for name in ("Accept", "User-Agent"):
+            if not header(request.headers, name):
+                sent_headers.append(f"{name}:")
+        curl.setopt(pycurl.HTTPHEADER, sent_headers)
+
+    @staticmethod
+    def reason(channel: Channel, exchange: Exchange, code: int) -> str:
+        """Name the reason of a failed transfer."""
+        if exchange.late:
+            return "first_byte_timeout"
+        if exchange.resends or (
+            # libcurl wanted to resend, and could not connect again.
+            channel.used and exchange.sent and code == pycurl.E_COULDNT_CONNECT
+        ):
+            return "reused_connection_closed"
+        if exchange.too_large:
+            return "answer_too_large"
+        if not exchange.sent and code == pycurl.E_OPERATION_TIMEDOUT:
+            return "connect_timeout"
+        return REASONS.get(code, f"curl_{code}")
+
+    def complete(
+        self,
+        endpoint: Endpoint,
+        request: EndpointRequest,
+        channel: Channel,
+        exchange: Exchange,
+    ) -> Answer:
+        """Check that the answer is whole and belongs to the request.
+
+        :raises EndpointError: if it is not.
+        """
+        status = channel.curl.getinfo(pycurl.RESPONSE_CODE)
+        headers = tuple(exchange.headers)
+        body = b"".join(exchange.parts)
+        length = header(headers, "Content-Length")
+        coding = header(headers, "Transfer-Encoding").lower()
+        bodyless = request.method == "HEAD" or status in (204, 304)
+        if status < 200:
+            raise EndpointError(endpoint.name, "answer_invalid", True)
+        if not bodyless and not coding:
+            # Without a length only the closing of the connection ends the
+            # body, and that cannot be told from a crash.
+            if not length.isdigit() or int(length) != len(body):
+                raise EndpointError(endpoint.name, "answer_truncated", True)
+        elif not bodyless and coding != "chunked":
+            raise EndpointError(endpoint.name, "answer_truncated", True)
+        echoed = header(headers, "Cyclamen-Request")
+        if echoed and echoed != request.request_id:
+            raise EndpointError(endpoint.name, "answer_mismatch", True)
+        return Answer(status, end_to_end(headers), body)
+
+    def check_out(self, address: str) -> Channel | None:
+        """Take the most recently used idle channel of an endpoint."""
+        now_s = self.clock()
+        stale: list[Channel] = []
+        taken = None
+        with self.lock:
+            stack = self.idle.get(address, [])
+            if stack:
+                taken = stack.pop()
+                if now_s - taken.idle_since > self.settings.reuse_idle_s:
+                    # Those below it have been idle for longer.
+                    stale = [taken, *stack]
+                    stack.clear()
+                    taken = None
+            if not stack:
+                self.idle.pop(address, None)
+        for channel in stale:
+            channel.close()
+        return taken
+
+    def check_in(self, address: str, channel: Channel) -> None:
+        """Keep a channel for the next request."""
+        channel.used = True
+        channel.idle_since = self.clock()
+        with self.lock:
+            stack = self.idle.setdefault(address, [])
+            if len(stack) < IDLE_LIMIT:
+                stack.append(channel)
+                return
+        channel.close()
+
+    def forget(self, address: str) -> None:
+        """Close the idle channels of an endpoint."""
+        with self.lock:
+            stack = self.idle.pop(address, [])
+        for channel in stack:
+            channel.close()
+
+    def sweep(self) -> None:
+        """Close channels that are too old to be used again."""
+        oldest_s = self.clock() - self.settings.reuse_idle_s
+        stale: list[Channel] = []
+        with self.lock:
+            for address, stack in list(self.idle.items()):
+                kept = [c for c in stack if c.idle_since >= oldest_s]
+                stale += [c for c in stack if c.idle_since < oldest_s]
+                if kept:
+                    self.idle[address] = kept
+                else:
+                    del self.idle[address]
+        for channel in stale:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all idle channels."""
+        with self.lock:
+            stacks = list(self.idle.values())
+            self.idle = {}
+        for stack in stacks:
+            for channel in stack:
+                channel.close()
