--- a/test/nodes.py
+++ b/test/nodes.py
@@ -111,3 +111,29 @@
     while not condition():
         assert monotonic() < end_s, f"not within {WAIT_S} s: {what}"
         wake.wait(0.01)
+
+
+def start_three(state: StoreState, settings: Settings = FAST) -> list[Node]:
+    """Start entries a, b and c, and wait until all admit work."""
+    nodes: list[Node] = []
+    for name in "abc":
+        seeds = tuple(node.link.address for node in nodes)
+        nodes.append(Node(name, state, seeds, settings).start())
+    eventually(
+        lambda: all(
+            len(node.table.view.members.members) == 3
+            and node.freshness.may_admit()
+            and node.link.alive() == ["a", "b", "c"]
+            for node in nodes
+        ),
+        "three entries have joined",
+    )
+    return nodes
+
+
+def end_all(nodes: list[Node]) -> None:
+    """Stop entries."""
+    for node in nodes:
+        node.stop.set()
+    for node in nodes:
+        node.end()
--- /dev/null
+++ b/test/test_members.py
@@ -0,0 +1,106 @@
+"""Tests of the member list on three entries and one store."""
+
+import pytest
+
+from cyclamenscale.errors import NotAcceptedError, NotFoundError
+from cyclamenscale.members import choose_incarnation
+from cyclamenscale.standin.state import StoreState
+from test.nodes import FAST, Node, end_all, eventually, start_three
+
+
+def listed(node):
+    """Return the names in an entry's member list."""
+    return [member.name for member in node.table.view.members.members]
+
+
+@pytest.fixture
+def nodes():
+    made = start_three(StoreState())
+    yield made
+    end_all(made)
+
+
+def test_a_graceful_leave_needs_no_wait(nodes):
+    """Guards against a list that keeps names of entries that stopped."""
+    nodes[2].members.leave()
+    assert nodes[2].freshness.reason() == "leaving"
+    eventually(lambda: listed(nodes[0]) == ["a", "b"], "the list is shorter")
+    change = nodes[0].operations.change("pool", "p", {}, "ops", "test")
+    assert change.in_force_s < nodes[0].settings.freshness.limit_s
+
+
+def test_a_replacement_takes_over_the_name(nodes):
+    """Guards against two processes that count as one member."""
+    old = nodes[2]
+    old.end()
+    seeds = (nodes[0].link.address,)
+    new = Node("c", old.store.state, seeds).start()
+    nodes[2] = new
+    assert new.freshness.incarnation == old.freshness.incarnation + 1
+    eventually(new.freshness.may_admit, "the replacement admits work")
+    eventually(
+        lambda: (
+            nodes[0].link.alive() == ["a", "b", "c"]
+            and nodes[0].link.membership.address_of("c") == new.link.address
+        ),
+        "the others know it",
+    )
+    assert listed(nodes[0]) == ["a", "b", "c"]
+
+
+def test_a_member_is_removed_only_after_it_lost_freshness(nodes):
+    """Guards against a removed entry that still serves the old state."""
+    nodes[2].end()
+    limits = nodes[0].settings.freshness
+    accepted = nodes[0].members.remove("c", "ops", "broken")
+    assert accepted.in_force_s >= limits.limit_s + limits.margin_s
+    assert listed(nodes[0]) == ["a", "b"]
+    with pytest.raises(NotFoundError):
+        nodes[0].members.remove("c", "ops", "broken")
+
+
+def test_names_do_not_change_without_a_majority_unless_forced():
+    """Guards against lists whose majorities do not intersect."""
+    limits = FAST.freshness._replace(accept_within_s=1.5)
+    nodes = start_three(StoreState(), FAST._replace(freshness=limits))
+    first = nodes[0]
+    end_all(nodes[1:])
+    try:
+        with pytest.raises(NotAcceptedError):
+            Node("d", first.store.state, (), first.settings).members.join(
+                "x:1"
+            )
+        for name in "cb":
+            first.members.remove(name, "ops", "lost", force=True)
+        eventually(lambda: listed(first) == ["a"], "the names are gone")
+        first.operations.change("pool", "p", {}, "ops", "test")
+    finally:
+        first.end()
+
+
+def test_a_restart_without_the_store_recovers_from_peers(nodes):
+    """Guards against an outage that no restarted entry survives."""
+    nodes[0].operations.change("pool", "p", {}, "ops", "test")
+    nodes[2].end()
+    for node in nodes[:2]:
+        node.store.faults.down = True
+    seeds = tuple(node.link.address for node in nodes[:2])
+    new = Node("c", StoreState(), seeds, incarnation=2 * 10**9)
+    nodes[2] = new.start(reader=False)
+    eventually(lambda: "p" in new.table.view.pools, "it has the state")
+    assert new.freshness.reason() == "recovering"
+    eventually(new.freshness.may_admit, "it admits by its peers")
+    limits = new.settings.freshness
+    assert new.freshness.clock() >= new.freshness.recover_s
+    assert new.freshness.age_s() > limits.limit_s
+
+
+def test_an_incarnation_is_above_the_last_one():
+    """Guards against a replacement that its peers ignore."""
+    node = Node("a", StoreState(), incarnation=41)
+    assert choose_incarnation(node.store, "a", lambda: 99.5) == 99
+    node.members.freshness.incarnation = 41
+    node.members.join("x:1")
+    assert choose_incarnation(node.store, "a", lambda: 99.5) == 42
+    node.store.faults.down = True
+    assert choose_incarnation(node.store, "a", lambda: 99.5) == 99
--- /dev/null
+++ b/test/test_peers.py
@@ -0,0 +1,129 @@
+"""Tests of the peer link, with sockets on loopback."""
+
+import zmq
+
+from cyclamenscale.messages import (
+    ConfigChange,
+    EndpointSign,
+    Heartbeat,
+    encode_frame,
+)
+from cyclamenscale.peers import OUTBOX_LIMIT
+from cyclamenscale.standin.state import StoreState
+from test.nodes import FAST, Node, eventually
+
+
+def make_pair(settings=FAST, **kwargs):
+    """Return two linked entries that do not use the store."""
+    one = Node("a", StoreState(), settings=settings, incarnation=5)
+    one.start(reader=False)
+    seeds = (one.link.address,)
+    other = Node("b", StoreState(), seeds, settings, incarnation=5)
+    other.start(reader=False)
+    pair = (one, other)
+    eventually(
+        lambda: all(node.link.alive() == ["a", "b"] for node in pair),
+        "both entries are alive",
+    )
+    return pair
+
+
+def end(*nodes):
+    for node in nodes:
+        node.end()
+
+
+def test_messages_reach_handlers_and_failures_stay_in_the_link():
+    """Guards against a handler's failure that ends the link."""
+    one, other = make_pair()
+    try:
+        got = []
+        one.link.on(EndpointSign, lambda message: 1 / 0)
+        for node in (one, other):
+            node.link.on(EndpointSign, got.append)
+        sign = EndpointSign("a", "i", "leaving")
+        assert one.link.send("a", sign) and not one.link.send("x", sign)
+        eventually(lambda: got == [sign], "the own message is handled")
+        eventually(
+            lambda: one.link.send("b", sign) and len(got) > 1, "it arrives"
+        )
+        assert one.metrics.snapshot()["peers.handler_failures"] == 1
+        assert one.link.bytes_sent and other.link.bytes_received
+    finally:
+        end(one, other)
+
+
+def test_bad_frames_are_counted_and_dropped():
+    """Guards against frames of strangers that end the link or count."""
+    one, other = make_pair()
+    limit_bytes = FAST.peers.frame_limit_bytes
+    beat = Heartbeat("b", 4, "127.0.0.1:1", "", 9, 9, 1, True)
+    frames = [
+        (b"b/5/%d", b"\x09\x01", "version"),
+        (b"b/5/%d", b"\x01\xfe", "type"),
+        (b"b/5/%d", b"\x01\x01?", "garbage"),
+        (b"b/5/%d", bytes(limit_bytes + 1), "size"),
+        (b"c/5/%d", encode_frame(beat), "sender"),
+        (b"b/4/%d", encode_frame(beat), "superseded"),
+    ]
+    try:
+        with zmq.Context() as context:
+            # A router takes one connection of an identity.
+            for serial, (identity, frame, _) in enumerate(frames, 900):
+                with context.socket(zmq.DEALER) as dealer:
+                    dealer.identity = identity % serial
+                    dealer.connect(f"tcp://{one.link.address}")
+                    dealer.send(frame)
+                    dealer.linger = 1000
+        for *_, reason in frames:
+            name = f"peers.dropped_in_{reason}"
+            eventually(lambda n=name: one.metrics.snapshot().get(n), name)
+        assert one.link.alive() == ["a", "b"]
+        assert one.link.membership.address_of("b") == other.link.address
+    finally:
+        end(one, other)
+
+
+def test_a_link_that_is_cut_is_noticed_and_made_again():
+    """Guards against half-open connections that stay in use."""
+    one, other = make_pair()
+    try:
+        one.link.block("b", inbound=True, outbound=False)
+        eventually(lambda: one.link.alive() == ["a"], "the cut is noticed")
+        counts = one.metrics.snapshot
+        eventually(lambda: counts().get("peers.reconnects"), "a new socket")
+        assert other.link.alive() == ["a", "b"]
+        one.link.block("b", inbound=False, outbound=False)
+        eventually(lambda: one.link.alive() == ["a", "b"], "it is healed")
+    finally:
+        end(one, other)
+
+
+def test_the_outbox_is_bounded():
+    """Guards against messages without end while the link is stopped."""
+    node = Node("a", StoreState(), incarnation=5)
+    sign = EndpointSign("a", "i", "leaving")
+    sent = [node.link.broadcast(sign) for _ in range(OUTBOX_LIMIT + 5)]
+    assert sent.count(False) == 5
+    assert node.metrics.snapshot()["peers.outbox_dropped"] == 5
+
+
+def test_entries_catch_up_by_deltas_and_by_buckets():
+    """Guards against entries that differ for good without the store."""
+    small = FAST._replace(peers=FAST.peers._replace(log_limit=8))
+    one, other = make_pair(small)
+    changes = [
+        ConfigChange(f"config/pool/k{n}", b'["p"]', n) for n in range(2, 40)
+    ]
+    try:
+        for upto in (4, 39):
+            one.table.apply(changes[: upto - 1], upto)
+            eventually(
+                lambda upto=upto: other.table.covered == upto, f"{upto}"
+            )
+            assert other.table.items == one.table.items
+        counts = other.metrics.snapshot()
+        assert counts["sync.repairs"] == 1
+        assert one.metrics.snapshot()["sync.deltas_sent"] >= 2
+    finally:
+        end(one, other)
