Hand slots over at an entry and keep slots from long work

Change: an entry hands a freed slot to its own next request of the most urgent class while the scheduler reports a queue; messages that free no slot are held up to 50 ms then. Long work starts only while 0.4 of the slots are free, unless it is starved. Of requests with equal slack the one in the slot's data centre is taken. Requests refused during grants() are now returned by the same call. Messages gain next and head_ms, with defaults.

--- a/cyclamenscale/messages.py
+++ b/cyclamenscale/messages.py
@@ -233,14 +233,18 @@
 class DoneItem(NamedTuple):
     """A slot that is free again.
 
-    :ivar number: the entry's number of the request.
+    :ivar number: the entry's number of the request; negative for a slot
+        granted to a request that had taken over another one.
     :ivar run_ms: how long it ran, in milliseconds.
     :ivar whole: whether a whole answer came.
+    :ivar next: number of the request of the same class that took over the
+        slot, 0 if it is free.
     """
 
     number: int
     run_ms: int
     whole: bool
+    next: int = 0
 
 
 class HoldingItem(NamedTuple):
@@ -297,6 +301,9 @@
     :ivar grants: the slots.
     :ivar sequence: grows by one with each batch of an epoch; a gap makes
         the entry send a reset.
+    :ivar head_ms: slack of the first waiting request of the most urgent
+        class, -1 if none waits, -2 if besides many slots are free; see
+        ``slot_client.py`` on handing over.
     """
 
     sender: str
@@ -304,6 +311,7 @@
     epoch: int
     grants: list[GrantItem]
     sequence: int = 0
+    head_ms: int = -1
 
 
 @message(13)
--- a/cyclamenscale/queues.py
+++ b/cyclamenscale/queues.py
@@ -1,8 +1,9 @@
 """Waiting and running requests of one pool, as its scheduler keeps them."""
 
 from collections.abc import Iterator
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, nsmallest
 from itertools import islice
+from operator import itemgetter
 from typing import NamedTuple
 
 from cyclamenscale.messages import WantItem
@@ -109,7 +110,11 @@
 
     def first(self, count: int) -> list[Waiting]:
         """Return the requests with the least slack, by deadline."""
-        return list(islice(self.ordered(), count))
+        # Some of the smallest may be cancelled; twice as many are looked
+        # at, because at most half of the heap is.
+        smallest = nsmallest(2 * count, self.heap, key=itemgetter(0, 1))
+        live = (one[2] for one in smallest if self.has(one[2]))
+        return list(islice(live, count))
 
     def ordered(self) -> Iterator[Waiting]:
         """Return all requests by deadline."""
--- a/cyclamenscale/scheduling.py
+++ b/cyclamenscale/scheduling.py
@@ -28,6 +28,20 @@
 #: Shortest and longest time a refused caller is told to wait.
 RETRY_AFTER_MIN_MS = 100
 RETRY_AFTER_MAX_MS = 60_000
+#: Trunk reservation: long work that is not starved starts only while more
+#: than this share of the pool's slots is free, so that long work that came
+#: with the first requests of a burst does not hold slots throughout it.
+#: Measured in docs/decisions/002-slots-of-a-pool.md.
+LONG_RESERVE = 0.4
+#: The reservation no longer holds for a request that has waited for this
+#: share of its slack.
+RESERVE_SLACK_SHARE = 0.25
+#: Above this share of free slots entries may report freed ones later.
+AMPLE_SHARE = 0.2
+#: How much more slack than the head a request may have to run in its own
+#: data centre instead, and how many are looked at.
+NEAR_S = 0.02
+NEAR_LOOK = 16
 #: Requests tried behind one that can use none of the free slots, because it
 #: excludes them or is held back for its data centre.
 LOOK_AHEAD = 64
@@ -58,7 +72,6 @@
     return POLICIES[name]
 
 
-@policy("pool_scheduler")
 class PoolScheduler:
     """Scheduler of one pool.
 
@@ -95,10 +108,14 @@
         self.epochs: dict[str, int] = {}
         self.classes: dict[Key, str] = {}
         self.running: dict[Key, Running] = {}
+        #: Slots granted to requests that had taken over another one.
+        self.crossed: dict[Key, Running] = {}
         self.watched: list[tuple[float, Key, Running]] = []
         self.refused: list[tuple[str, GrantItem]] = []
         self.long_used = 0
         self.total = 0
+        #: Whether long work waited longer than ``starvation_s``.
+        self.starved = False
         #: When a request held back for its data centre may go elsewhere.
         self.held_until_s: float | None = None
 
@@ -154,12 +171,12 @@
         """Queue a request, or refuse it if it cannot meet its deadline.
 
         :param entry: name of the entry.
-        :param epoch: the entry's epoch; older ones are ignored.
+        :param epoch: the entry's epoch; a request of another epoch than
+            that of the entry's last reset is ignored.
         :param want: the request.
         """
-        if epoch < self.epochs.get(entry, 0):
+        if epoch != self.epochs.setdefault(entry, epoch):
             return
-        self.epochs[entry] = epoch
         key = Key(entry, want.number)
         if key in self.classes or key in self.running:
             return
@@ -194,12 +211,45 @@
         :param item: the request; unknown ones are ignored.
         :param learn: whether the run time is to be recorded.
         """
-        running = self.running.pop(Key(entry, item.number), None)
+        if item.number < 0:
+            running = self.crossed.pop(Key(entry, -item.number), None)
+        else:
+            running = self.running.pop(Key(entry, item.number), None)
         if running is None:
             return
         self.free(running)
         if item.whole and learn:
             self.runtimes.record(running.class_name, item.run_ms)
+        if item.next:
+            self.hand_over(Key(entry, item.next), running)
+
+    def hand_over(self, key: Key, before: Running) -> None:
+        """Note that an entry reused a slot for a request of the same class.
+
+        A grant for that request may be under way. Its slot stays in use
+        until the entry says what became of it, under the negative number.
+        """
+        self.drop(key)
+        crossed = self.running.pop(key, None)
+        if crossed is not None:
+            self.crossed[key] = crossed
+        self.occupy(key, before.class_name, before.spot, self.clock())
+
+    def head_ms(self) -> int:
+        """Return the slack at the head of the most urgent queue.
+
+        :returns: milliseconds, or -1 if no slot may be handed over: nothing
+            of the most urgent class waits, or long work is starved. -2 if
+            nothing waits and so many slots are free that one more or less
+            makes no difference.
+        """
+        if not self.classes and self.free_slots > AMPLE_SHARE * self.total:
+            return -2
+        queue = self.order[0] if self.order else None
+        head = queue.head() if queue else None
+        if head is None or queue.name not in self.targets or self.starved:
+            return -1
+        return max(0, round((head.deadline_s - self.clock()) * 1000))
 
     def reset(
         self,
@@ -211,12 +261,10 @@
         """Replace all that is known of an entry.
 
         :param entry: name of the entry.
-        :param epoch: its new epoch; older ones are ignored.
+        :param epoch: its new epoch.
         :param wants: requests that wait.
         :param holding: requests that run.
         """
-        if epoch < self.epochs.get(entry, 0):
-            return
         self.forget(entry)
         self.epochs[entry] = epoch
         now_s = self.clock()
@@ -234,6 +282,8 @@
             self.drop(key)
         for key in [key for key in self.running if key.entry == entry]:
             self.free(self.running.pop(key))
+        for key in [key for key in self.crossed if key.entry == entry]:
+            self.free(self.crossed.pop(key))
         self.refused = [one for one in self.refused if one[0] != entry]
 
     def grants(self) -> list[tuple[str, GrantItem]]:
@@ -245,14 +295,15 @@
         self.held_until_s = None
         self.expire(now_s)
         self.watch(now_s)
-        given = self.refused
-        self.refused = []
+        given: list[tuple[str, GrantItem]] = []
+        self.starved = False
         if self.classes and any(spot.free > 0 for spot in self.spots.values()):
             targets = self.known_targets()
             limit_ms = self.runtimes.long_limit_ms(targets)
             for queue, starved in self.turns(now_s, limit_ms):
                 self.serve(queue, starved, limit_ms, now_s, given)
-        return given
+        refused, self.refused = self.refused, []
+        return given + refused
 
     # Parts.
 
@@ -300,7 +351,7 @@
         for other in self.order:
             if other.target_ms <= queue.target_ms:
                 ahead += len(other.live) * self.quantiles(other).mean_ms
-        if not ahead and len(self.running) < self.total:
+        if not ahead and self.free_slots > 0:
             return 0.0
         return (ahead + self.quantiles(queue).mean_ms) / max(1, self.total)
 
@@ -420,6 +471,7 @@
                 oldest = queue.oldest()
                 if now_s - oldest.since_s > self.settings.starvation_s:
                     first.append((queue, True))
+        self.starved = bool(first)
         first.sort(key=lambda turn: turn[0].oldest().since_s)
         return first + rest
 
@@ -446,7 +498,9 @@
             late_s = now_s - waiting.since_s
             if starved and late_s <= self.settings.starvation_s:
                 return
-            spot, others = self.choose(waiting, queue, long, now_s)
+            spot, others = self.choose(waiting, queue, long, starved, now_s)
+            if spot is not None and not starved:
+                waiting = self.nearer(waiting, queue, spot)
             if spot is not None:
                 given.append(self.grant(waiting, spot, now_s))
             elif queue.has(waiting):
@@ -456,12 +510,31 @@
         if not others or starved:
             return
         for waiting in queue.first(LOOK_AHEAD):
-            spot, others = self.choose(waiting, queue, long, now_s)
+            spot, others = self.choose(waiting, queue, long, starved, now_s)
             if spot is not None:
                 given.append(self.grant(waiting, spot, now_s))
             if not others:
                 return
 
+    def nearer(self, head: Waiting, queue: ClassQueue, spot: Spot) -> Waiting:
+        """Return the request to run at an endpoint.
+
+        It is the head of the queue, or one with about the same slack from
+        an entry in the endpoint's data centre: while requests queue, slots
+        become free one by one and leave no choice of the endpoint.
+        """
+        centre = spot.data_centre
+        if self.centres.get(head.key.entry) == centre:
+            return head
+        limit_s = head.deadline_s + NEAR_S
+        for waiting in queue.first(NEAR_LOOK):
+            if waiting.deadline_s > limit_s:
+                break
+            near = self.centres.get(waiting.key.entry) == centre
+            if near and spot.name not in waiting.exclude:
+                return waiting
+        return head
+
     def grant(
         self, waiting: Waiting, spot: Spot, now_s: float
     ) -> tuple[str, GrantItem]:
@@ -471,7 +544,12 @@
         return waiting.key.entry, GrantItem(waiting.key.number, spot.name)
 
     def choose(
-        self, waiting: Waiting, queue: ClassQueue, long: bool, now_s: float
+        self,
+        waiting: Waiting,
+        queue: ClassQueue,
+        long: bool,
+        starved: bool,
+        now_s: float,
     ) -> tuple[Spot | None, bool]:
         """Choose an endpoint.
 
@@ -479,6 +557,8 @@
             one may find a slot.
         """
         share = self.settings.long_share
+        if long and not starved and self.reserved(waiting, now_s):
+            return None, False
         if long and self.long_used >= max(1, int(share * self.total)):
             return None, False
         free = [
@@ -506,6 +586,18 @@
             return None, True
         return self.pick(near or fit), True
 
+    @property
+    def free_slots(self) -> int:
+        """Return the number of free slots of the pool."""
+        return self.total - len(self.running) - len(self.crossed)
+
+    def reserved(self, waiting: Waiting, now_s: float) -> bool:
+        """Return whether the free slots are kept from a long request."""
+        if self.free_slots > LONG_RESERVE * self.total:
+            return False
+        slack_s = waiting.deadline_s - waiting.since_s
+        return now_s - waiting.since_s < RESERVE_SLACK_SHARE * slack_s
+
     def hold(
         self, waiting: Waiting, queue: ClassQueue, centre: str, now_s: float
     ) -> bool:
--- a/cyclamenscale/slot_client.py
+++ b/cyclamenscale/slot_client.py
@@ -4,6 +4,13 @@
 a copy. Each reset starts a new epoch and sends the whole truth. Grants of
 an older epoch are ignored, because the reset has told the scheduler that
 their requests still wait, so no slot is used that no scheduler counts.
+
+While work of the most urgent class waits at the scheduler, an entry hands a
+slot that becomes free directly to its own next request of that class, if
+this one's turn is near by the slack the scheduler last reported. That saves
+the slot from idling for two message delays and one message. Requests of
+other classes always go through the scheduler, so the order of the classes
+and the share of long work hold.
 """
 
 from random import Random
@@ -18,6 +25,7 @@
     WantItem,
 )
 from cyclamenscale.model import Endpoint
+from cyclamenscale.queues import ClassQueue, Key, Waiting
 from cyclamenscale.runtimes import RunTimes
 from cyclamenscale.scheduling import PoolScheduler
 from cyclamenscale.settings import Settings
@@ -26,6 +34,18 @@
 #: Share of ``fallback_s`` after which an entry whose requests wait, and that
 #: neither asked nor heard anything, asks whether the scheduler is there.
 ASK_SHARE = 0.5
+#: How long the reported slack is used. Without new grants in this time the
+#: queue may be empty, or long work may be starved.
+HEAD_S = 0.5
+#: How much more slack than the scheduler's first request a request may have
+#: to take over a slot.
+AHEAD_S = 0.1
+#: A grant crosses a hand-over within milliseconds; this many are kept.
+HANDED_LIMIT = 1000
+#: While the most urgent work queues anyway, messages that free no slot may
+#: wait this long for others to share a frame with; so may all that ask for
+#: no slot while many are free.
+HOLD_S = 0.05
 
 
 class Ask(NamedTuple):
@@ -69,8 +89,9 @@
     :param clock: monotonic seconds.
     :param rng: chooses endpoints in fallback.
     :param runtimes: the entry's learned run times.
-    :param first_epoch: higher than any epoch this entry used before a
-        restart.
+    :param first_epoch: differs from those this entry used before a
+        restart. Epochs are compared for equality only: a late message of
+        an older epoch leads to another reset.
     """
 
     def __init__(
@@ -104,9 +125,25 @@
         self.wants: dict[int, None] = {}
         self.done: list[DoneItem] = []
         self.cancelled: list[int] = []
+        self.queues: dict[str, ClassQueue] = {}
+        #: Class with the shortest target, whose slots may be handed over.
+        self.urgent = ""
+        #: Deadline at the scheduler's head and when it was reported.
+        self.head_deadline_s = 0.0
+        self.head_s = float("-inf")
+        #: When the scheduler last reported that many slots are free.
+        self.ample_s = float("-inf")
+        #: Endpoints of slots of the most urgent class whose end is held.
+        self.freed: dict[int, str] = {}
+        #: Class of requests that took over a slot; a grant for them may be
+        #: under way.
+        self.handed: dict[int, str] = {}
+        #: Since when a message that is not urgent waits.
+        self.held_s: float | None = None
         self.local: PoolScheduler | None = None
         #: Decisions the caller has not taken yet.
         self.decided: list[GrantItem] = []
+        self.whole: set[str] = set()
         self.farewells: list[tuple[str, SlotBatch]] = []
         self.counts: dict[str, int] = {}
 
@@ -123,14 +160,24 @@
         deadline_s = self.clock() + slack_ms / 1000
         ask = Ask(class_name, deadline_s, tuple(sorted(exclude)))
         self.waiting[number] = ask
+        item = self.want_item(number, ask)
+        if class_name not in self.queues:
+            self.queues = {k: q for k, q in self.queues.items() if q.live}
+            self.queues[class_name] = ClassQueue(class_name, slack_ms)
+        self.queues[class_name].push(
+            Waiting(Key(self.name, number), item, self.clock())
+        )
         if self.local:
-            self.local.add(self.name, 0, self.want_item(number, ask))
-        elif not self.resend:
+            self.local.add(self.name, 0, item)
+        elif not self.resend and not self.reuse(number, ask):
             self.wants[number] = None
+            # A request that is ahead of all that wait must not be held.
+            ahead = deadline_s <= self.head_deadline_s
+            self.hold(ahead or not self.pressed())
 
     def cancel(self, number: int) -> None:
         """Give up a waiting request."""
-        if self.waiting.pop(number, None) is None:
+        if self.drop(number) is None:
             return
         if self.local:
             self.local.cancel(self.name, number)
@@ -138,6 +185,7 @@
             del self.wants[number]
         elif not self.resend:
             self.cancelled.append(number)
+            self.hold(False)
 
     def release(self, number: int, run_ms: int, whole: bool) -> None:
         """Give a slot back."""
@@ -150,13 +198,70 @@
         if self.local:
             self.local.done(self.name, item, learn=False)
         elif not self.resend:
-            self.done.append(item)
+            heir = self.heir(hold.class_name, hold.endpoint)
+            if heir:
+                self.hand_over(heir, hold.endpoint)
+            self.done.append(item._replace(next=heir))
+            self.hold(not heir and not self.ample())
+            if not heir and hold.class_name == self.urgent:
+                self.freed[number] = hold.endpoint
+
+    def heir(self, class_name: str | None, endpoint: str) -> int:
+        """Return the request that takes over a slot, 0 for none."""
+        now_s = self.clock()
+        queue = self.queues.get(class_name)
+        if (
+            queue is None
+            or class_name != self.urgent
+            or self.scheduler == self.name
+            or not self.pressed()
+            or endpoint not in self.whole
+        ):
+            return 0
+        head = queue.head()
+        if head is None:
+            return 0
+        number = head.key.number
+        # The head of the scheduler's queue moves on about as time does.
+        limit_s = self.head_deadline_s + now_s - self.head_s + AHEAD_S
+        if (
+            number in self.wants
+            or endpoint in head.exclude
+            or head.deadline_s > limit_s
+        ):
+            return 0
+        return number
+
+    def pressed(self) -> bool:
+        """Return whether the most urgent work queues at the scheduler."""
+        return self.clock() - self.head_s <= HEAD_S
+
+    def hold(self, urgent: bool) -> None:
+        """Note since when something waits to be sent."""
+        if urgent:
+            self.held_s = float("-inf")
+        elif self.held_s is None:
+            self.held_s = self.clock()
+
+    def drop(self, number: int) -> Ask | None:
+        """Remove a waiting request."""
+        ask = self.waiting.pop(number, None)
+        if ask is not None:
+            self.queues[ask.class_name].remove(Key(self.name, number))
+        return ask
 
     # Scheduler.
 
     def update(self, view: PoolView, scheduler: str) -> None:
         """Take over a view of the pool and the scheduler it implies."""
         self.view = view
+        self.urgent = min(view.targets, key=view.targets.get, default="")
+        # An endpoint whose slots are reduced must not keep all of them.
+        self.whole = {
+            one.name
+            for one in view.endpoints
+            if view.allowed.get(one.name, 0) >= one.slots
+        }
         if self.local:
             self.update_local()
         if scheduler == self.scheduler:
@@ -184,6 +289,9 @@
         self.wants.clear()
         self.done.clear()
         self.cancelled.clear()
+        self.head_s = self.ample_s = float("-inf")
+        self.handed.clear()
+        self.freed.clear()
         self.count("resets")
 
     def take(self, batch: GrantBatch) -> None:
@@ -209,16 +317,21 @@
             self.renew()
             return
         self.heard = batch.sequence
+        self.head_s = self.ample_s = float("-inf")
+        if batch.head_ms == -2:
+            self.ample_s = self.clock()
+        if batch.head_ms >= 0:
+            self.head_s = self.clock()
+            self.head_deadline_s = self.head_s + batch.head_ms / 1000
         for grant in batch.grants:
             self.decide(grant)
 
     def decide(self, grant: GrantItem) -> None:
         """Take over one decision."""
-        ask = self.waiting.pop(grant.number, None)
+        ask = self.drop(grant.number)
         if ask is None:
             if grant.endpoint:
-                self.count("given_back")
-                self.done.append(DoneItem(grant.number, 0, False))
+                self.pass_on(grant)
             return
         if grant.endpoint:
             self.running[grant.number] = Hold(
@@ -226,6 +339,50 @@
             )
         self.decided.append(grant)
 
+    def pass_on(self, grant: GrantItem) -> None:
+        """Use a slot whose request no longer waits, or give it back."""
+        class_name = self.handed.pop(grant.number, None)
+        number = -grant.number if class_name else grant.number
+        heir = self.heir(class_name, grant.endpoint)
+        if heir:
+            self.hand_over(heir, grant.endpoint)
+        else:
+            self.count("given_back")
+        self.done.append(DoneItem(number, 0, False, heir))
+        self.hold(not heir)
+
+    def reuse(self, number: int, ask: Ask) -> bool:
+        """Let a new request take over a slot whose end was not sent yet.
+
+        Ends are held while many slots are free, so that no other request
+        waits for the slot.
+        """
+        if ask.class_name != self.urgent or not self.ample():
+            return False
+        for place, item in enumerate(self.done):
+            endpoint = self.freed.get(item.number)
+            if (
+                endpoint in self.whole
+                and endpoint not in ask.exclude
+                and not item.next
+            ):
+                self.done[place] = item._replace(next=number)
+                self.hand_over(number, endpoint)
+                return True
+        return False
+
+    def ample(self) -> bool:
+        """Return whether the scheduler has many free slots."""
+        return self.clock() - self.ample_s <= HEAD_S
+
+    def hand_over(self, number: int, endpoint: str) -> None:
+        """Let a request take over a slot."""
+        self.count("handed_over")
+        self.handed[number] = self.waiting[number].class_name
+        if len(self.handed) > HANDED_LIMIT:
+            del self.handed[next(iter(self.handed))]
+        self.decide(GrantItem(number, endpoint))
+
     def tick(self) -> None:
         """Fall back when no answer comes; grant from the own view then."""
         if self.local is None and self.asked_s is not None:
@@ -242,19 +399,25 @@
         return decided
 
     def due(self) -> bool:
-        """Return whether there is anything to send."""
+        """Return whether there is anything to send now."""
         if not self.scheduler:
             return False
         if self.local is None and (
             self.resend or self.wants or self.done or self.cancelled
         ):
-            return True
+            return self.resend or self.due_in_s() <= 0
         fallback_s = self.settings.scheduling.fallback_s
         silent_s = self.clock() - self.quiet_s
         if self.local:
             return silent_s >= fallback_s
         return bool(self.waiting) and silent_s >= ASK_SHARE * fallback_s
 
+    def due_in_s(self) -> float:
+        """Return when held messages must be sent, in seconds from now."""
+        if self.held_s is None:
+            return float("inf")
+        return self.held_s + HOLD_S - self.clock()
+
     def batch(self) -> SlotBatch | None:
         """Return the next batch for the scheduler, or None."""
         if not self.due():
@@ -294,6 +457,8 @@
             if self.asked_s is None:
                 self.asked_s = now_s
         self.resend = False
+        self.held_s = None
+        self.freed.clear()
         self.wants = {}
         self.done = []
         self.cancelled = []
--- a/cyclamenscale/slot_role.py
+++ b/cyclamenscale/slot_role.py
@@ -77,8 +77,6 @@
         now_s = self.clock()
         entry = batch.sender
         member = self.members.get(entry)
-        if member is not None and batch.epoch < member.epoch:
-            return
         if batch.reset:
             member = Member(batch.epoch, batch.sequence, now_s)
             member.answer_s = now_s
@@ -114,6 +112,7 @@
         grants: dict[str, list[GrantItem]] = {}
         for entry, grant in self.scheduler.grants():
             grants.setdefault(entry, []).append(grant)
+        head_ms = self.scheduler.head_ms()
         sent = []
         for entry, epoch in self.asks.items():
             sent.append(
@@ -136,6 +135,7 @@
                         member.epoch,
                         given,
                         member.sequence,
+                        head_ms,
                     ),
                 )
             )
--- a/cyclamenscale/slots.py
+++ b/cyclamenscale/slots.py
@@ -11,21 +11,24 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from random import Random
 from threading import Event, RLock
-from time import time
 from typing import NamedTuple, Protocol
 
 from xxhash import xxh64_intdigest
 
-from cyclamenscale.errors import NotRunError
+from cyclamenscale.errors import FieldError, NotRunError
 from cyclamenscale.messages import GrantBatch, GrantItem, SlotBatch
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import ConfigView, Endpoint, RequestClass
-from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.runtimes import Quantiles, RunTimes
 from cyclamenscale.settings import Settings
 from cyclamenscale.slot_client import PoolView, SlotClient
 from cyclamenscale.slot_role import SlotRole
 from cyclamenscale.util.clock import Clock, monotonic
 
+#: The one policy an entry runs; the others are baselines of the benchmark.
+POLICY = "pool_scheduler"
+#: First epochs are drawn below this; two bytes on the wire.
+EPOCHS = 32768
 #: How often the views of pools and entries are read again.
 VIEW_S = 0.1
 #: Longest sleep of the loop; bounds how late a deadline or a fallback is
@@ -95,8 +98,9 @@
     :param metrics: gets counters.
     :param clock: monotonic seconds.
     :param rng: breaks ties.
-    :param first_epoch: higher than any epoch this entry used before a
-        restart; the wall clock by default.
+    :param first_epoch: differs from those this entry used before a
+        restart; random by default.
+    :raises FieldError: if the settings name another policy.
     """
 
     def __init__(
@@ -112,6 +116,10 @@
         first_epoch: int | None = None,
     ):
         """Register the message handlers."""
+        if settings.scheduling.policy != POLICY:
+            raise FieldError(
+                "scheduling.policy", settings.scheduling.policy, POLICY
+            )
         self.settings = settings
         self.name = settings.entry.name
         self.config = config
@@ -121,7 +129,9 @@
         self.metrics = metrics
         self.clock = clock
         self.rng = rng or Random()
-        self.first_epoch = int(time()) if first_epoch is None else first_epoch
+        if first_epoch is None:
+            first_epoch = self.rng.randrange(1, EPOCHS)
+        self.first_epoch = first_epoch
         self.runtimes = RunTimes(settings, clock)
         # Guards number, clients, roles, views, futures, viewed_s and all
         # that hangs on them.
@@ -154,33 +164,22 @@
         :raises NotRunError: if it is refused or the deadline has passed.
         """
         pool = request_class.pool
-        future: Future = Future()
-        with self.lock:
-            self.number += 1
-            number = self.number
-            self.futures[number] = future
-            client = self.client(pool)
-            client.want(number, request_class.name, slack_ms, exclude)
-        self.wake.set()
+        number, future = self.submit(request_class, slack_ms, exclude)
         try:
             grant = future.result(timeout=max(0.0, slack_ms / 1000))
         except FutureTimeoutError:
             grant = None
-        with self.lock:
-            if grant is None and future.done():
-                # It was decided between the time-out and the lock.
-                grant = future.result()
-            self.futures.pop(number, None)
-            if grant is None:
-                client.cancel(number)
-                retry_s = self.retry_after_s(pool, request_class.name)
         if grant is None:
-            self.wake.set()
+            grant = self.withdraw(number, pool, future)
+        else:
+            with self.lock:
+                self.futures.pop(number, None)
+        if grant is None:
             self.metrics.incr("slots.deadline_passed")
             raise NotRunError(
                 "deadline",
                 f"no slot of pool {pool} became free within {slack_ms} ms",
-                retry_s,
+                self.retry_after_s(pool, request_class.name),
             )
         if not grant.endpoint:
             self.metrics.incr("slots.refused")
@@ -193,6 +192,43 @@
         self.metrics.incr("slots.granted")
         return Slot(number, pool, grant.endpoint)
 
+    def submit(
+        self,
+        request_class: RequestClass,
+        slack_ms: int,
+        exclude: frozenset[str] = frozenset(),
+    ) -> tuple[int, Future]:
+        """Queue a request without waiting.
+
+        :returns: its number, and the future of its
+            :class:`cyclamenscale.messages.GrantItem`.
+        """
+        future: Future = Future()
+        with self.lock:
+            self.number += 1
+            number = self.number
+            self.futures[number] = future
+            self.client(request_class.pool).want(
+                number, request_class.name, slack_ms, exclude
+            )
+        self.wake.set()
+        return number, future
+
+    def withdraw(
+        self, number: int, pool: str, future: Future
+    ) -> GrantItem | None:
+        """Give up a request's place.
+
+        :returns: the decision if there was one before, or None.
+        """
+        with self.lock:
+            self.futures.pop(number, None)
+            if future.done():
+                return future.result()
+            self.client(pool).cancel(number)
+        self.wake.set()
+        return None
+
     def release(self, slot: Slot, run_ms: int, whole: bool) -> None:
         """Give a slot back.
 
@@ -201,24 +237,34 @@
         :param whole: whether a complete answer came.
         """
         with self.lock:
-            self.client(slot.pool).release(slot.number, run_ms, whole)
+            client = self.client(slot.pool)
+            client.release(slot.number, run_ms, whole)
+            self.deliver(client)
         self.wake.set()
 
     def retry_after_s(self, pool: str, class_name: str) -> float:
-        """Return how long the requests waiting here take to drain (locked).
+        """Return how long the requests waiting here take to drain.
 
         The slots are taken as shared evenly by the live entries.
         """
-        view = self.views.get(pool)
-        slots = sum(view.allowed.values()) if view else 0
-        if not slots:
-            return 1.0
-        target_ms = view.targets.get(class_name, 1000)
-        mean_ms = self.runtimes.quantiles(class_name, target_ms).mean_ms
-        waiting = len(self.clients[pool].waiting) + 1
+        with self.lock:
+            view = self.views.get(pool)
+            waiting = len(self.client(pool).waiting) + 1
+            slots = sum(view.allowed.values()) if view else 0
+            if not slots:
+                return 1.0
+            target_ms = view.targets.get(class_name, 1000)
+            mean_ms = self.runtimes.quantiles(class_name, target_ms).mean_ms
         drain_ms = waiting * mean_ms * len(view.alive) / slots
         return min(max(drain_ms / 1000, 0.1), 60.0)
 
+    def run_times(self, request_class: RequestClass) -> Quantiles:
+        """Return the learned run times of a class."""
+        with self.lock:
+            return self.runtimes.quantiles(
+                request_class.name, request_class.finish_within_ms
+            )
+
     # Link.
 
     def on_slots(self, batch: SlotBatch) -> None:
@@ -278,6 +324,8 @@
                 client.farewells = []
             for pool in self.clients.keys() | self.roles.keys():
                 outgoing += self.exchange(pool)
+            for client in self.clients.values():
+                wait_s = min(wait_s, max(0.0, client.due_in_s()))
             for role in self.roles.values():
                 until_s = role.scheduler.held_until_s
                 if until_s is not None:
--- /dev/null
+++ b/test/test_scheduling.py
@@ -0,0 +1,227 @@
+"""Tests of the pool's scheduler."""
+
+from random import Random
+
+import pytest
+
+from cyclamenscale.errors import NotFoundError
+from cyclamenscale.messages import DoneItem, HoldingItem, WantItem
+from cyclamenscale.model import Endpoint
+from cyclamenscale.scheduling import PoolScheduler, find_policy
+from cyclamenscale.settings import SchedulingSettings, Settings
+from cyclamenscale.util.clock import VirtualClock
+
+TARGETS = {"short": 5000.0, "mid": 20_000.0, "long": 600_000.0}
+ENDPOINTS = [
+    Endpoint(f"x{i}", "p", "", f"dc-{i % 2}", "r", 4) for i in range(4)
+]
+
+
+class Bench:
+    """A scheduler with four endpoints of four slots."""
+
+    def __init__(self, **settings):
+        self.clock = VirtualClock(50.0)
+        whole = Settings(scheduling=SchedulingSettings(**settings))
+        self.scheduler = PoolScheduler(whole, self.clock, Random(1))
+        self.scheduler.update_classes(TARGETS)
+        self.slots(4)
+        self.number = 0
+
+    def slots(self, each):
+        self.scheduler.update_endpoints(
+            ENDPOINTS, {e.name: each for e in ENDPOINTS}
+        )
+
+    def learn(self, **run_ms):
+        for name, value in run_ms.items():
+            for _ in range(50):
+                self.scheduler.runtimes.record(name, value)
+
+    def want(self, name, count=1, slack_ms=60_000, entry="e", **more):
+        made = []
+        for _ in range(count):
+            self.number += 1
+            made.append(self.number)
+            item = WantItem(self.number, name, slack_ms, **more)
+            self.scheduler.add(entry, 1, item)
+        return made
+
+    def grants(self):
+        return {
+            grant.number: grant.endpoint
+            for _, grant in self.scheduler.grants()
+        }
+
+    def done(self, number):
+        self.scheduler.done("e", DoneItem(number, 10, True))
+
+
+@pytest.fixture
+def bench():
+    made = Bench()
+    made.learn(short=100, mid=100, long=5000)
+    return made
+
+
+def test_shorter_target_first_then_slack(bench):
+    """Guards against urgent work behind less urgent work."""
+    busy = bench.want("short", 16)
+    assert set(bench.grants()) == set(busy)
+    (mid,) = bench.want("mid", slack_ms=9000)
+    (late,) = bench.want("short", slack_ms=9000)
+    (soon,) = bench.want("short", slack_ms=4000)
+    order = []
+    for number in busy[:3]:
+        bench.done(number)
+        order += bench.grants()
+    assert order == [soon, late, mid]
+
+
+def test_long_work_leaves_slots_to_short_work(bench):
+    """Guards against head-of-line blocking by long work."""
+    long = bench.want("long", 16)
+    given = set(bench.grants())
+    # More than 0.4 of 16 slots stay free: long work gets 10 - 1.
+    assert given < set(long)
+    assert len(given) <= 10
+    short = bench.want("short", 6)
+    assert set(bench.grants()) == set(short)
+
+
+def test_starved_long_work_takes_the_next_slot_of_its_share(bench):
+    """Guards against long work that waits beyond the stated bound."""
+    busy = bench.want("short", 16)
+    bench.grants()
+    (long,) = bench.want("long", slack_ms=600_000)
+    while bench.clock() < 50.0 + 40.0:
+        # Short work fills all slots, and more of it always waits.
+        bench.clock.advance(0.4)
+        for number in busy:
+            bench.done(number)
+        bench.want("short", 20)
+        busy = list(bench.grants())
+        if long in busy:
+            break
+    # Served with the first slot that was free after starvation_s.
+    assert 30.0 < bench.clock() - 50.0 < 31.0
+
+
+def test_straggler_counts_as_long_work(bench):
+    """Guards against stragglers and long work filling an endpoint."""
+    bench.want("short", 12)
+    bench.grants()
+    bench.clock.advance(60.0)
+    bench.grants()
+    assert bench.scheduler.long_used == 12
+    bench.want("long", slack_ms=600_000)
+    bench.clock.advance(31.0)
+    assert not bench.grants()
+
+
+def test_late_work_is_refused_with_the_drain_time(bench):
+    """Guards against work that waits for nothing, and a useless hint."""
+    bench.want("short", 16 + 160)
+    bench.grants()
+    (number,) = bench.want("short", slack_ms=500)
+    refused = {g.number: g for _, g in bench.scheduler.grants()}[number]
+    assert not refused.endpoint
+    # 160 requests of 100 ms ahead on 16 slots.
+    assert refused.retry_after_ms == pytest.approx(1000, rel=0.1)
+
+
+def test_lost_capacity_sheds_the_least_urgent_work(bench):
+    """Guards against urgent work refused in place of less urgent work."""
+    bench.want("short", 16)
+    bench.grants()
+    mid = set(bench.want("mid", 100, slack_ms=1500))
+    short = set(bench.want("short", 100, slack_ms=1500))
+    bench.slots(2)
+    refused = {number for number, place in bench.grants().items() if not place}
+    assert refused <= mid
+    assert len(refused) > 50
+    assert len(bench.scheduler.classes) == 200 - len(refused)
+    assert short <= {key.number for key in bench.scheduler.classes}
+
+
+def test_full_queue_refuses_the_least_urgent_work():
+    """Guards against a queue that grows without bound."""
+    bench = Bench(queue_limit=20)
+    bench.want("short", 16)
+    bench.grants()
+    long = bench.want("long", 20, slack_ms=600_000)
+    (short,) = bench.want("short")
+    (more,) = bench.want("long", slack_ms=600_000)
+    assert bench.grants() == {long[-1]: "", more: ""}
+    assert len(bench.scheduler.classes) == 20
+
+
+def test_own_data_centre_is_preferred_while_it_has_slots(bench):
+    """Guards against trips that cost more than they gain."""
+    bench.scheduler.update_entries({"e": "dc-1"})
+    bench.want("short", 8)
+    given = bench.grants()
+    assert len(given) == 8
+    assert set(given.values()) == {"x1", "x3"}
+    # A slot there is expected after 100 / 8 ms, a trip takes 1 ms.
+    (number,) = bench.want("short")
+    assert bench.grants()[number] in ("x0", "x2")
+
+
+def test_request_waits_for_its_data_centre_at_most_a_trip(bench):
+    """Guards against a request held back while other slots are free."""
+    bench.learn(short=2)
+    bench.scheduler.update_entries({"e": "dc-1"})
+    bench.scheduler.runtimes.classes.clear()
+    bench.learn(short=2)
+    bench.want("short", 8)
+    bench.grants()
+    (number,) = bench.want("short")
+    assert not bench.grants()
+    until_s = bench.scheduler.held_until_s
+    assert until_s == pytest.approx(bench.clock() + 0.001)
+    bench.clock.advance(0.0011)
+    assert bench.grants()[number] in ("x0", "x2")
+
+
+def test_excluded_endpoints_are_not_used(bench):
+    """Guards against a retry at the endpoint that failed."""
+    bench.want("short", 14)
+    bench.grants()
+    free = {s.name for s in bench.scheduler.spots.values() if s.free > 0}
+    (first,) = bench.want("short", exclude=tuple(free), slack_ms=4000)
+    (second,) = bench.want("short", slack_ms=9000)
+    assert set(bench.grants()) == {second}
+    (none,) = bench.want("short", exclude=("x0", "x1", "x2", "x3"))
+    assert bench.grants()[none] == ""
+    assert first in {key.number for key in bench.scheduler.classes}
+
+
+def test_reset_replaces_what_was_known_of_an_entry(bench):
+    """Guards against slots counted twice after a reset."""
+    numbers = bench.want("short", 4)
+    bench.grants()
+    bench.want("short", 1, entry="other")
+    holding = [HoldingItem(numbers[0], "short", "x0", 50)]
+    bench.scheduler.reset("e", 2, [WantItem(99, "short", 5000)], holding)
+    assert len(bench.scheduler.running) == 1
+    assert sum(s.used for s in bench.scheduler.spots.values()) == 1
+    assert set(bench.grants()) == {99, 5}
+    bench.scheduler.forget("e")
+    assert {key.entry for key in bench.scheduler.running} == {"other"}
+
+
+def test_many_cancellations_leave_no_trace(bench):
+    """Guards against a heap that grows with cancelled requests."""
+    bench.want("short", 16)
+    bench.grants()
+    for number in bench.want("short", 1000):
+        bench.scheduler.cancel("e", number)
+    assert not bench.scheduler.classes
+    assert len(bench.scheduler.queues["short"].heap) <= 64
+
+
+def test_unknown_policy_is_a_typed_error():
+    """Guards against a bare KeyError for a misspelt setting."""
+    with pytest.raises(NotFoundError):
+        find_policy("fastest")
