Wait a moment for the outcome of a repeated key

Cause: an entry answers its caller before the outcome is committed.

Change: a claim that finds its key pending reads it up to three times within 0.35 s and the caller's time. The queue and the cache of outcomes have a module of their own. The platform stand-in has a lock, because eight threads share its state, outages on command, and takes names with a slash.

Conclusion: a repetition gets its answer unless the run or the store is slow.

--- a/cyclamenscale/claim_records.py
+++ b/cyclamenscale/claim_records.py
@@ -11,7 +11,6 @@
 still carries the claim must find its comparison false.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable
 from concurrent.futures import Future
 from hashlib import blake2b
@@ -20,7 +19,6 @@
 from cyclamenscale.errors import FieldError
 from cyclamenscale.model import CLAIM_PREFIX
 from cyclamenscale.store import Compare, KeyValue, Put
-from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record, pack
 
 CLAIMED = "claimed"
@@ -259,40 +257,12 @@
     return ClaimResult(PENDING)
 
 
-class KnownOutcomes:
-    """Outcomes that this entry recorded, bounded, the oldest dropped first.
-
-    A repeated request gets its answer although the store is down.
-
-    :param limit_bytes: bound of their encoded size.
-    :param retention_s: how long one may be used, in seconds.
-    :param clock: monotonic seconds.
-    """
-
-    def __init__(self, limit_bytes: int, retention_s: float, clock: Clock):
-        """Start empty; the owner's lock guards all fields."""
-        self.limit_bytes = limit_bytes
-        self.retention_s = retention_s
-        self.clock = clock
-        self.steps: OrderedDict[str, Step] = OrderedDict()
-        self.size_bytes = 0
-        self.dropped = 0
-
-    def add(self, step: Step) -> None:
-        """Keep the outcome of a step."""
-        replaced = self.steps.pop(step.key, None)
-        if replaced:
-            self.size_bytes -= len(replaced.value)
-        self.steps[step.key] = step
-        self.size_bytes += len(step.value)
-        while self.size_bytes > self.limit_bytes:
-            _, oldest = self.steps.popitem(last=False)
-            self.size_bytes -= len(oldest.value)
-            self.dropped += 1
-
-    def find(self, key: str) -> ClaimRecord | None:
-        """Return the record of a store key, if it may still be used."""
-        step = self.steps.get(key)
-        if step and self.clock() - step.queued_s < self.retention_s:
-            return step.record
-        return None
+def look(current: KeyValue | None, digest: str) -> ClaimResult:
+    """Return what a key that was pending means now for another request."""
+    if current is None:
+        return ClaimResult(PENDING)
+    try:
+        found = decode_record(current.value, ClaimRecord, current.key)
+    except FieldError:
+        return ClaimResult(PENDING)
+    return existing(found, digest)
--- a/cyclamenscale/claims.py
+++ b/cyclamenscale/claims.py
@@ -2,20 +2,21 @@
 
 import random
 import time
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from threading import Condition, Event
 
+from cyclamenscale.claim_queue import KnownOutcomes, StepQueue
 from cyclamenscale.claim_records import (
     ABANDONED,
     CLAIMED,
     DONE,
     NEW,
+    PENDING,
     ClaimRecord,
     ClaimResult,
     Held,
-    KnownOutcomes,
     RecordedOutcome,
     Step,
     Verdict,
@@ -23,6 +24,7 @@
     choose,
     existing,
     judge,
+    look,
     store_key,
     success,
     transaction,
@@ -47,6 +49,9 @@
 # New claims wait for the next try while the store is down, so the back-off
 # stays well below the time that a caller waits.
 BACKOFF_MAX_S = 1.0
+# Outcomes are committed within a few tens of milliseconds after the answer
+# unless the store is slow; a longer run is not waited for.
+PENDING_WAITS_S = (0.05, 0.1, 0.2)
 FLUSH_LIMIT_S = 5.0
 STOP_POLL_S = 0.1
 
@@ -80,11 +85,9 @@
         self.clock = clock
         self.wall = wall
         self.random = random.Random()
-        # Guards queue, queue_bytes, flying, held, known and the fields of
-        # queued steps.
+        # Guards queue, flying, held, known and the fields of queued steps.
         self.lock = Condition()
-        self.queue: deque[Step] = deque()
-        self.queue_bytes = 0
+        self.queue = StepQueue(QUEUE_LIMIT, QUEUE_LIMIT_BYTES)
         self.flying: list[Step] = []
         self.held: OrderedDict[str, Held] = OrderedDict()
         self.known = KnownOutcomes(
@@ -115,11 +118,34 @@
             the claim is abandoned in the background, so the attempt must
             not run.
         """
+        until_s = self.clock() + timeout_s
         step = self.submit(class_name, key, digest, attempt_id)
         try:
-            return step.result.result(timeout_s)
+            result = step.result.result(timeout_s)
         except FutureTimeoutError:
-            return self.give_up(step)
+            result = self.give_up(step)
+        if result.state == PENDING:
+            return self.await_outcome(step, until_s)
+        return result
+
+    def await_outcome(self, step: Step, until_s: float) -> ClaimResult:
+        """Read the outcome of an earlier attempt that has just ended.
+
+        An entry answers its caller before the outcome is committed, so that
+        the caller may repeat its request through another entry sooner.
+        """
+        for wait_s in PENDING_WAITS_S:
+            if self.clock() + wait_s > until_s:
+                break
+            time.sleep(wait_s)
+            try:
+                current = self.store.get(step.key)[1]
+            except StoreError:
+                break
+            result = look(current, step.record.digest)
+            if result.state != PENDING:
+                return result
+        return ClaimResult(PENDING)
 
     def submit(
         self, class_name: str, key: str, digest: str, attempt_id: str
@@ -137,7 +163,7 @@
                 self.metrics.incr("claims.known")
                 step.result.set_result(existing(found, digest))
                 return step
-            if not self.has_room(step):
+            if not self.queue.has_room(step):
                 self.metrics.incr("claims.refused")
                 raise StoreUnavailableError("claim", "the queue is full")
             self.enqueue(step)
@@ -158,7 +184,7 @@
             step.given_up = True
             if step in self.flying:
                 raise StoreAnswerLostError("claim", "no answer in time")
-            self.dequeue(step)
+            self.queue.remove(step)
             if not step.in_doubt:
                 raise StoreUnavailableError("claim", "not sent in time")
             self.enqueue(self.abandonment(step, step.revision))
@@ -210,7 +236,7 @@
             step = Step(name, record, held.revision, self.clock())
             if state == DONE:
                 self.known.add(step)
-            if not self.has_room(step):
+            if not self.queue.has_room(step):
                 self.metrics.incr("claims.dropped")
                 return
             self.enqueue(step)
@@ -244,10 +270,13 @@
     def commit_once(self) -> None:
         """Send one transaction with the oldest steps."""
         with self.lock:
-            self.drop_expired()
+            oldest_s = self.clock() - self.settings.retention_s
+            dropped = self.queue.drop_before(oldest_s)
+            if dropped:
+                self.metrics.incr("claims.dropped", dropped)
             group = choose(self.queue, self.settings.group_limit)
             for step in group:
-                self.dequeue(step)
+                self.queue.remove(step)
             self.flying = group
         if not group:
             return
@@ -375,7 +404,7 @@
         """
         for step in [s for s in self.queue if s.is_claim]:
             if not step.in_doubt:
-                self.dequeue(step)
+                self.queue.remove(step)
                 self.refuse(step, error)
 
     def abandonment(self, step: Step, revision: int) -> Step:
@@ -394,37 +423,11 @@
             self.held.popitem(last=False)
             self.metrics.incr("claims.forgotten")
 
-    def drop_expired(self) -> None:
-        """Drop outcomes that could not be stored during their retention.
-
-        A claim stays until its caller gives up, however late: the caller
-        may be paused.
-        """
-        oldest_s = self.clock() - self.settings.retention_s
-        for step in [s for s in self.queue if s.queued_s < oldest_s]:
-            if not step.is_claim:
-                self.dequeue(step)
-                self.metrics.incr("claims.dropped")
-
-    def has_room(self, step: Step) -> bool:
-        """Return whether the queue takes another step."""
-        room_bytes = QUEUE_LIMIT_BYTES - self.queue_bytes
-        return len(self.queue) < QUEUE_LIMIT and len(step.value) <= room_bytes
-
     def enqueue(self, step: Step, first: bool = False) -> None:
-        """Add a step to the queue."""
-        if first:
-            self.queue.appendleft(step)
-        else:
-            self.queue.append(step)
-        self.queue_bytes += len(step.value)
+        """Add a step to the queue and wake the committing thread."""
+        self.queue.add(step, first)
         self.lock.notify()
 
-    def dequeue(self, step: Step) -> None:
-        """Take a step off the queue."""
-        self.queue.remove(step)
-        self.queue_bytes -= len(step.value)
-
     def record_of(
         self,
         state: str,
--- a/cyclamenscale/standin/platform.py
+++ b/cyclamenscale/standin/platform.py
@@ -1,17 +1,18 @@
 """Stand-in of the platform over HTTP."""
 
-import time
+from threading import Lock
 
 from werkzeug.wrappers import Request, Response
 
 from cyclamenscale.errors import (
+    FieldError,
     NotFoundError,
     PlatformUnavailableError,
     StaleFenceError,
 )
 from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.standin.fleet import MemoryPlatform
-from cyclamenscale.standin.http import HttpServer, json_response
+from cyclamenscale.standin.http import HttpServer, dropped, json_response
 from cyclamenscale.util.clock import Clock, monotonic
 from cyclamenscale.util.codec import from_json
 
@@ -37,6 +38,8 @@
         reboot_s: float = 1.0,
     ):
         """Bind the address; :meth:`start` begins to serve."""
+        # Guards memory, which has no lock of its own.
+        self.lock = Lock()
         self.memory = MemoryPlatform(clock, reboot_s, lag_s)
         self.slow_s = 0.0
         self.http = HttpServer(self.handle, address, THREADS)
@@ -54,38 +57,67 @@
         """Stop for good."""
         self.http.stop()
 
+    def down(self, refuse: bool = False) -> None:
+        """Begin an outage; the state is kept.
+
+        :param refuse: refuse connections; else answer with 503.
+        """
+        self.memory.down = True
+        if refuse:
+            self.http.suspend()
+
+    def up(self) -> None:
+        """End an outage, at the same address."""
+        self.memory.down = False
+        self.http.start()
+
     def add(self, listed: PlatformInstance) -> None:
         """Add an instance that is up."""
-        self.memory.add(listed)
+        with self.lock:
+            self.memory.add(listed)
 
     def remove(self, name: str) -> None:
         """Remove an instance."""
-        del self.memory.instances[name]
+        with self.lock:
+            del self.memory.instances[name]
 
     def set_leaving(self, name: str, leaving: bool) -> None:
         """List an instance as leaving, or no longer."""
-        found = self.memory.instances[name]
-        found.listed = found.listed._replace(leaving=leaving)
+        with self.lock:
+            found = self.memory.instances[name]
+            found.listed = found.listed._replace(leaving=leaving)
 
     def handle(self, request: Request) -> Response:
         """Answer one call."""
-        if self.slow_s:
-            time.sleep(self.slow_s)
-        parts = request.path.strip("/").split("/")
+        if self.slow_s and self.http.closing.wait(self.slow_s):
+            raise dropped()
+        # The server leaves encoded slashes within a name as they are.
+        path = request.path.strip("/")
+        parts = [part.replace("%2F", "/") for part in path.split("/")]
         try:
-            if parts == ["v1", "instances"]:
-                return json_response(self.memory.list_instances())
-            if len(parts) == 4 and parts[3] == "status":
-                return json_response(self.memory.status(parts[2]))
-            if len(parts) == 4 and parts[3] == "reboot":
-                fields = from_json(request.get_data(), "body")
-                self.memory.status(parts[2])
-                self.memory.reboot(parts[2], **fields)
-                return json_response({})
+            with self.lock:
+                return self.serve(parts, request.get_data())
+        except (FieldError, TypeError) as error:
+            return json_response({"error": str(error)}, 400)
         except PlatformUnavailableError as error:
             return json_response({"error": str(error)}, 503)
         except StaleFenceError as error:
             return json_response({"error": str(error)}, 409)
         except NotFoundError as error:
             return json_response({"error": str(error)}, 404)
+
+    def serve(self, parts: list[str], body: bytes) -> Response:
+        """Make the call of a path.
+
+        :raises TypeError: if the body lacks a field or has another one.
+        """
+        if parts == ["v1", "instances"]:
+            return json_response(self.memory.list_instances())
+        if len(parts) == 4 and parts[3] == "status":
+            return json_response(self.memory.status(parts[2]))
+        if len(parts) == 4 and parts[3] == "reboot":
+            fields = from_json(body, "body")
+            self.memory.status(parts[2])
+            self.memory.reboot(parts[2], **fields)
+            return json_response({})
         return json_response({"error": "no such path"}, 404)
--- a/test/test_claims.py
+++ b/test/test_claims.py
@@ -202,6 +202,23 @@
     assert step.result.result(0) == ClaimResult("new")
 
 
+def test_a_claim_stays_in_doubt_until_its_own_key_has_changed(entry):
+    """Guards against a delayed claim that no later step has fenced."""
+    entry.claim("used")
+    step = entry.claims.submit("invoice", "k", "d", "a1")
+    entry.store.delay_next = True
+    entry.claims.commit_once()
+    entry.claims.submit("invoice", "used", "d", "a2")
+    entry.claims.commit_once()
+    entry.store.faults.set(down=True)
+    entry.claims.commit_once()
+    assert not step.result.done()
+    entry.store.faults.clear()
+    entry.store.deliver()
+    entry.claims.commit_once()
+    assert step.result.result(0) == ClaimResult("new")
+
+
 def test_a_claim_given_up_in_flight_is_abandoned(entry):
     """Guards against a key stuck by a caller that left at the last moment."""
     step = entry.claims.submit("invoice", "k", "d", "a1")
@@ -276,9 +293,9 @@
     assert len(choose(steps, 60, 1)) == 1
 
 
-def test_a_full_queue_refuses_claims_and_counts_them(entry, monkeypatch):
+def test_a_full_queue_refuses_claims_and_counts_them(entry):
     """Guards against memory that grows with the store's outage."""
-    monkeypatch.setattr("cyclamenscale.claims.QUEUE_LIMIT", 1)
+    entry.claims.queue.limit = 1
     entry.claims.submit("invoice", "k1", "d", "a1")
     with pytest.raises(StoreUnavailableError):
         entry.claims.submit("invoice", "k2", "d", "a2")
@@ -292,6 +309,29 @@
     assert entry.claim("other") == ClaimResult("new")
 
 
+def test_a_repetition_waits_a_moment_for_the_outcome(entry, monkeypatch):
+    """Guards against "unknown" right after the first caller's answer."""
+    entry.claim("k")
+    step = entry.claims.submit("invoice", "k", "d", "a2")
+    entry.claims.commit_once()
+    assert step.result.result(0) == ClaimResult("pending")
+    waits = []
+
+    def wait(wait_s):
+        waits.append(wait_s)
+        if len(waits) == 2:
+            entry.claims.record("invoice", "k", "a1", OUTCOME)
+            entry.claims.commit_once()
+
+    monkeypatch.setattr("cyclamenscale.claims.time.sleep", wait)
+    until_s = entry.claims.clock() + 5.0
+    found = entry.claims.await_outcome(step, until_s)
+    assert found == ("recorded", OUTCOME)
+    assert len(waits) == 2
+    late = entry.claims.await_outcome(step, entry.claims.clock())
+    assert late == ClaimResult("pending")
+
+
 def test_the_component_serves_callers_and_stores_outcomes_at_stop(state):
     """Guards against outcomes lost by a graceful shutdown."""
     entry = Entry(state, VirtualClock(), writes_per_s=10000)
