--- a/cyclamenscale/outliers.py
+++ b/cyclamenscale/outliers.py
@@ -27,6 +27,11 @@
 # The exclusion time doubles up to 2 ** 6, 640 s with the default settings.
 DOUBLINGS_LIMIT = 6
 
+# A refusal or a peer says that an endpoint is leaving before the platform's
+# list shows it. If the list still shows it in service after this time, which
+# is far beyond the list's lag, it was replaced between two readings.
+LEAVING_HOLD_S = 300.0
+
 # A domain with one endpoint cannot be told from a failed endpoint.
 DOMAIN_MINIMUM = 2
 
@@ -53,6 +58,7 @@
         """Start healthy, without a slow start."""
         self.endpoint = endpoint
         self.leaving: set[str] = set()
+        self.left_s = 0.0
         self.failures_in_row = 0
         self.recent: deque[bool] = deque(maxlen=RATE_WINDOW)
         self.excluded_until_s: float | None = None
@@ -86,7 +92,7 @@
         """Take the endpoints of the directory.
 
         An endpoint that comes back after it left starts slowly, and one that
-        is gone from the directory is forgotten unless it is leaving.
+        is gone from the directory is forgotten.
 
         :param endpoints: the pool's endpoints that may get new work.
         :param now_s: monotonic seconds.
@@ -102,6 +108,9 @@
                     if not first:
                         state.returned_s = now_s
                 state.endpoint = endpoint
+                if state.leaving and now_s - state.left_s >= LEAVING_HOLD_S:
+                    state.leaving.clear()
+                    state.returned_s = now_s
             for name in list(self.states):
                 if name not in names:
                     del self.states[name]
@@ -120,6 +129,7 @@
                 return False
             first = not state.leaving
             state.leaving.add(source)
+            state.left_s = now_s
             if first and source != "peer":
                 self.signs.append(HealthSign(name, "leaving"))
             return first
--- a/cyclamenscale/server.py
+++ b/cyclamenscale/server.py
@@ -14,6 +14,8 @@
 from cheroot import wsgi
 from loguru import logger
 
+from cyclamenscale.util.clock import monotonic
+
 # A dead peer frees its connection after about 10 + 3 x 5 seconds.
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
@@ -23,6 +25,8 @@
 # before cheroot shuts their sockets down.
 LAST_WAIT_S = 0.1
 
+QUEUE_CHECK_S = 0.02
+
 # The overload answer is sent before the request is parsed, so the sender may
 # rely on it that the request did not run.
 OVERLOAD_BODY = (
@@ -180,10 +184,9 @@
         """Count the request while the application runs and is sent."""
         with self.changed:
             self.in_progress += 1
-            draining = self.draining
 
         def start(status, headers, exc_info=None):
-            if draining:
+            if self.draining:
                 headers = [*headers, ("Connection", "close")]
             return start_response(status, headers, exc_info)
 
@@ -194,6 +197,10 @@
                 self.in_progress -= 1
                 self.changed.notify_all()
 
+    def is_idle(self) -> bool:
+        """Return whether no request runs or waits (locked)."""
+        return not self.in_progress and not self.server.requests.qsize
+
     def stop(self, drain_s: float) -> bool:
         """Stop without cutting a request, if all end within the time.
 
@@ -203,14 +210,13 @@
         :param drain_s: how long to wait for the requests in progress.
         :returns: whether all of them ended.
         """
+        end_s = monotonic() + drain_s
         with self.changed:
             self.draining = True
-            idle = self.changed.wait_for(
-                lambda: (
-                    not self.in_progress and not self.server.requests.qsize
-                ),
-                drain_s,
-            )
+            while not (idle := self.is_idle()) and monotonic() < end_s:
+                # A queued connection that was closed by its peer leaves the
+                # queue without a notification.
+                self.changed.wait(QUEUE_CHECK_S)
         self.server.stop()
         if self.thread:
             self.thread.join(5.0)
--- /dev/null
+++ b/test/test_callers.py
@@ -0,0 +1,178 @@
+"""Tests of the callers' interface and the HTTP server, over sockets."""
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection
+from threading import Event
+
+import pytest
+
+from cyclamenscale.callers import CallerApp
+from cyclamenscale.server import HttpServer
+from cyclamenscale.util.codec import from_json
+from test.path import Path
+
+
+class Site:
+    """A caller server over a path."""
+
+    def __init__(self, path, **bounds):
+        self.path = path
+        self.app = CallerApp(
+            path.settings, path.dispatcher, path, path.metrics
+        )
+        self.server = HttpServer("127.0.0.1:0", self.app, **bounds)
+        self.server.start()
+
+    def get(self, method="GET", target="/x", body=None, **headers):
+        """Send a request; ``_`` in header names stands for ``-``."""
+        connection = HTTPConnection(self.server.address, timeout=20)
+        names = {k.replace("_", "-"): v for k, v in headers.items()}
+        try:
+            connection.request(method, target, body, names)
+            response = connection.getresponse()
+            return response, response.read()
+        finally:
+            connection.close()
+
+
+@pytest.fixture
+def site():
+    with Path() as path:
+        made = Site(path)
+        yield made
+        made.server.stop(10.0)
+
+
+def test_an_answer_carries_the_outcome(site):
+    """Guards against answers that can't be matched with the log."""
+    response, body = site.get("POST", "/a?b=1", b"x", Cyclamen_Class="plan")
+    assert response.status == 200
+    assert response.headers["Cyclamen-Outcome"] == "answered"
+    assert response.headers["Cyclamen-Wait-Ms"].isdigit()
+    seen = from_json(body, "answer")
+    assert seen["target"] == "/a?b=1"
+    # One header only: the endpoint's echo must not be passed on as well.
+    ids = response.headers.get_all("Cyclamen-Request")
+    assert ids == [seen["request"]]
+
+
+def test_refusals_have_status_body_and_retry_after(site):
+    """Guards against refusals that programs can't read."""
+    cases = [
+        (400, "not_run", {"Cyclamen_Class": "none"}),
+        (400, "not_run", {"Cyclamen_Class": "book"}),
+    ]
+    for status, outcome, headers in cases:
+        response, body = site.get(**headers)
+        told = from_json(body, "refusal")
+        assert (response.status, told["outcome"]) == (status, outcome)
+        assert response.headers["Cyclamen-Outcome"] == outcome
+    book = {"Cyclamen_Class": "book", "Idempotency_Key": "k"}
+    assert site.get("POST", body=b"a", **book)[0].status == 200
+    assert site.get("POST", body=b"b", **book)[0].status == 422
+    for endpoint in site.path.endpoints:
+        endpoint.die = "length"
+    lost = {**book, "Idempotency_Key": "k2"}
+    assert site.get("POST", **lost)[0].status == 504
+    assert site.get("POST", **lost)[0].status == 409
+    for endpoint in site.path.endpoints:
+        endpoint.leaving = True
+    response, body = site.get(Cyclamen_Class="plan")
+    assert response.status == 503
+    assert response.headers["Retry-After"] == "3"
+    assert from_json(body, "refusal")["retry_after_s"] == 2.5
+
+
+def test_health_follows_freshness_and_shutdown(site):
+    """Guards against a balancer that sends work to an entry in vain."""
+    assert site.get(target="/health")[0].status == 200
+    site.path.fresh = False
+    assert site.get(target="/health")[0].status == 503
+    site.path.fresh = True
+    site.app.ready = False
+    assert site.get(target="/health")[0].status == 503
+    # The balancer has not seen it yet, so work is still admitted.
+    assert site.get(Cyclamen_Class="plan")[0].status == 200
+
+
+def test_an_incomplete_body_does_not_run(site):
+    """Guards against a request whose caller died while sending it."""
+    host, port = site.server.address.split(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(
+            b"POST / HTTP/1.1\r\nHost: e\r\nCyclamen-Class: plan\r\n"
+            b"Content-Length: 10\r\n\r\nabc"
+        )
+        sock.shutdown(socket.SHUT_WR)
+        answer = sock.makefile("rb").read()
+    assert b"400" in answer.split(b"\r\n")[0]
+    assert site.path.runs() == [0, 0]
+
+
+def test_a_body_over_the_limit_does_not_run(site):
+    """Guards against bodies that exhaust the memory."""
+    site.server.server.max_request_body_size = 10
+    response, _ = site.get("POST", body=b"x" * 11, Cyclamen_Class="plan")
+    assert response.status == 413
+    assert site.path.runs() == [0, 0]
+
+
+def test_a_stop_cuts_no_request_in_progress(site):
+    """Guards against a planned stop that cuts answers."""
+    with ThreadPoolExecutor(2) as pool:
+        slow = pool.submit(site.get, Cyclamen_Class="plan", X_Run_Ms="200")
+        while not any(site.path.runs()):
+            site.path.endpoints[0].wait_for(lambda: False, 0.01)
+        assert pool.submit(site.server.stop, 10.0).result() is True
+        response, body = slow.result()
+    assert response.status == 200 and body
+    with pytest.raises(OSError):
+        site.get(Cyclamen_Class="plan")
+
+
+def test_silent_connections_take_no_thread():
+    """Guards against clients that connect and send nothing."""
+    server = HttpServer("127.0.0.1:0", hello, threads=1, queue_limit=8)
+    server.start()
+    host, port = server.address.split(":")
+    silent = [socket.create_connection((host, int(port))) for _ in range(4)]
+    connection = HTTPConnection(server.address, timeout=20)
+    connection.request("GET", "/")
+    assert connection.getresponse().read() == b"hello"
+    connection.close()
+    for sock in silent:
+        sock.close()
+    server.stop(10.0)
+
+
+def test_a_full_server_answers_not_run():
+    """Guards against a queue without bound in front of the threads."""
+    begun, end = Event(), Event()
+
+    def wait(environ, start_response):
+        begun.set()
+        end.wait(20)
+        return hello(environ, start_response)
+
+    server = HttpServer("127.0.0.1:0", wait, threads=1, queue_limit=1)
+    server.start()
+    connections = []
+    for _ in range(3):
+        connection = HTTPConnection(server.address, timeout=20)
+        connection.request("GET", "/")
+        begun.wait(20)
+        connections.append(connection)
+    refused = connections[2].getresponse()
+    assert refused.status == 503
+    assert refused.headers["Cyclamen-Outcome"] == "not_run"
+    end.set()
+    for connection in connections[:2]:
+        assert connection.getresponse().read() == b"hello"
+        connection.close()
+    server.stop(10.0)
+
+
+def hello(environ, start_response):
+    start_response("200 OK", [("Content-Length", "5")])
+    return [b"hello"]
--- /dev/null
+++ b/test/test_outliers.py
@@ -0,0 +1,168 @@
+"""Tests of the health of endpoints, on a virtual time."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cyclamenscale.model import Endpoint
+from cyclamenscale.outliers import (
+    LEAVING_HOLD_S,
+    EndpointHealth,
+    HealthSign,
+    PoolsHealth,
+)
+from cyclamenscale.settings import OutliersSettings
+
+SETTINGS = OutliersSettings()
+
+
+def members(count, racks=2):
+    return tuple(
+        Endpoint(f"e{n}", "p", f"h:{n}", "dc", f"r{n % racks}")
+        for n in range(count)
+    )
+
+
+def pool(count=6, racks=2):
+    health = EndpointHealth("p", SETTINGS)
+    health.update(members(count, racks), 0.0)
+    return health
+
+
+def fail(health, name, now_s=0.0, times=3):
+    return [health.fail(name, "call", now_s) for _ in range(times)][-1]
+
+
+def test_every_leaving_endpoint_is_excluded():
+    """Guards against a bound that keeps sending to leaving endpoints."""
+    health = pool()
+    for n in range(6):
+        assert health.leave(f"e{n}", "refusal", 0.0)
+        assert not health.may_send(f"e{n}", 0.0)
+    assert health.usable(0.0) == {}
+    assert not health.leave("e0", "list", 0.0)
+
+
+def test_own_signs_are_told_once_and_signs_of_peers_not_at_all():
+    """Guards against entries that echo each other's signs for ever."""
+    health = pool()
+    health.leave("e0", "refusal", 0.0)
+    health.leave("e0", "probe", 0.0)
+    health.leave("e1", "peer", 0.0)
+    fail(health, "e2")
+    wanted = [HealthSign("e0", "leaving"), HealthSign("e2", "failed")]
+    assert health.take_signs() == wanted
+    assert health.take_signs() == []
+
+
+def test_a_peer_does_not_take_back_an_own_sign():
+    """Guards against a lagging peer that brings back what is leaving."""
+    health = pool()
+    health.leave("e0", "refusal", 0.0)
+    assert not health.back("e0", "peer", 1.0)
+    assert not health.may_send("e0", 1.0)
+    assert health.back("e0", "probe", 1.0)
+    assert health.may_send("e0", 1.0)
+
+
+def test_an_endpoint_missed_by_the_list_is_not_lost_for_good():
+    """Guards against capacity lost to a reboot shorter than the lag."""
+    health = pool()
+    health.leave("e0", "refusal", 0.0)
+    health.update(members(6), LEAVING_HOLD_S - 1)
+    assert not health.may_send("e0", LEAVING_HOLD_S - 1)
+    health.update(members(6), LEAVING_HOLD_S)
+    assert health.usable(LEAVING_HOLD_S)["e0"] == 1
+
+
+def test_one_success_ends_a_row_of_failures():
+    """Guards against exclusion for failures that lie far apart."""
+    health = pool()
+    for _ in range(5):
+        fail(health, "e0", times=2)
+        health.succeed("e0", 0.0)
+    assert health.may_send("e0", 0.0)
+
+
+def test_a_high_failure_rate_excludes():
+    """Guards against an endpoint that fails two calls in three."""
+    health = pool()
+    excluded = False
+    for n in range(30):
+        if n % 3:
+            excluded |= health.fail("e0", "call", 0.0)
+        else:
+            health.succeed("e0", 0.0)
+    assert excluded
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 7), st.floats(0.0, 5.0)), max_size=200)
+)
+def test_failures_never_exclude_more_than_the_bound(steps):
+    """Guards against an overload of the endpoints that are left."""
+    health = pool(8)
+    now_s = 0.0
+    for number, wait_s in steps:
+        now_s += wait_s
+        health.fail(f"e{number}", "call", now_s)
+        assert len(health.usable(now_s)) >= 4
+
+
+def test_the_last_endpoint_is_never_excluded_for_failures():
+    """Guards against a pool of one that refuses all work for a fault."""
+    health = pool(1)
+    assert not fail(health, "e0", times=20)
+    assert health.bound_hits and health.may_send("e0", 0.0)
+
+
+def test_exclusion_grows_and_is_forgiven():
+    """Guards against a bad endpoint that gets work every few seconds."""
+    health = pool()
+    now_s = 0.0
+    for wanted_s in (10.0, 20.0, 40.0):
+        fail(health, "e0", now_s)
+        now_s += wanted_s
+        assert not health.may_send("e0", now_s - 0.1)
+        assert health.may_send("e0", now_s)
+    now_s += SETTINGS.slow_start_s
+    health.succeed("e0", now_s)
+    fail(health, "e0", now_s)
+    assert health.may_send("e0", now_s + SETTINGS.exclude_s)
+
+
+def test_the_slots_grow_after_a_return():
+    """Guards against a cold endpoint that gets its whole load at once."""
+    health = pool()
+    health.leave("e0", "probe", 0.0)
+    health.back("e0", "probe", 100.0)
+    grown = [health.usable(100.0 + s)["e0"] for s in (0.0, 5.0, 10.0)]
+    assert grown == [1, 4, 8]
+    # One that joins a pool in service starts slowly, too.
+    health.update(members(7), 200.0)
+    assert health.usable(200.0)["e6"] == 1
+
+
+def test_a_lost_rack_is_told_from_single_failures():
+    """Guards against shedding for one bad endpoint."""
+    health = pool(6, racks=2)
+    fail(health, "e0")
+    fail(health, "e2")
+    assert health.failed_domains(0.0) == []
+    fail(health, "e4")
+    assert health.failed_domains(0.0) == ["dc/r0"]
+    assert health.capacity_share(0.0) == 0.5
+    for n in (1, 3, 5):
+        fail(health, f"e{n}")
+    assert "dc" not in health.failed_domains(0.0)
+
+
+def test_pools_keep_their_state_over_updates():
+    """Guards against exclusions that a new configuration forgets."""
+    health = PoolsHealth(SETTINGS)
+    health.update({"p": members(3)}, 0.0)
+    health.pool("p").leave("e0", "refusal", 0.0)
+    health.update({"p": members(3), "q": ()}, 1.0)
+    assert not health.pool("p").may_send("e0", 1.0)
+    assert health.pool_of("e1") is health.pool("p")
+    assert health.pool("unknown").usable(1.0) == {}
+    assert health.take_signs() == [HealthSign("e0", "leaving")]
