--- a/cyclamenscale/members.py
+++ b/cyclamenscale/members.py
@@ -6,6 +6,11 @@
 as leaving, which ends its admission of work or its freshness, and its name
 is taken out once that is in force; a later change then need not wait for
 an entry that the list no longer shows.
+
+A replacement under the same name votes at once. The platform must have ended
+the old process before: it and a member that is cut off from the others could
+otherwise confirm each other's old state for as long as they do not reach the
+store, while the replacement acknowledges newer revisions under the same name.
 """
 
 import secrets
--- a/cyclamenscale/operations.py
+++ b/cyclamenscale/operations.py
@@ -216,7 +216,7 @@
         so; the first query about a change that another entry took begins
         one here.
 
-        :raises NotAcceptedError: if the store cannot be read.
+        :raises OutcomeUnknownError: if the store cannot be read.
         """
         try:
             _, found = self.store.get(CHANGE_PREFIX + change_id)
