--- a/cyclamenscale/scheduling.py
+++ b/cyclamenscale/scheduling.py
@@ -110,7 +110,10 @@
         self.running: dict[Key, Running] = {}
         #: Slots granted to requests that had taken over another one.
         self.crossed: dict[Key, Running] = {}
-        self.watched: list[tuple[float, Key, Running]] = []
+        #: When each running request counts as long; the number orders
+        #: equal times.
+        self.watched: list[tuple[float, int, Running]] = []
+        self.pushed = 0
         self.refused: list[tuple[str, GrantItem]] = []
         self.long_used = 0
         self.total = 0
@@ -390,7 +393,9 @@
         if p90_ms > limit_ms:
             self.mark_long(running)
         else:
-            heappush(self.watched, (since_s + limit_ms / 1000, key, running))
+            due_s = since_s + limit_ms / 1000
+            self.pushed += 1
+            heappush(self.watched, (due_s, self.pushed, running))
 
     def mark_long(self, running: Running) -> None:
         """Count a running request against the share of long work."""
@@ -409,17 +414,19 @@
     def watch(self, now_s: float) -> None:
         """Count requests that turned out to run long as long work."""
         while self.watched and self.watched[0][0] <= now_s:
-            _, key, running = heappop(self.watched)
-            if self.running.get(key) is running and not running.long:
+            running = heappop(self.watched)[2]
+            if self.runs(running) and not running.long:
                 self.mark_long(running)
         if len(self.watched) > 2 * len(self.running) + 64:
             self.watched = [
-                item
-                for item in self.watched
-                if self.running.get(item[1]) is item[2]
+                item for item in self.watched if self.runs(item[2])
             ]
             heapify(self.watched)
 
+    def runs(self, running: Running) -> bool:
+        """Return whether this very request still runs."""
+        return self.running.get(running.key) is running
+
     def expire(self, now_s: float) -> None:
         """Refuse requests that can no longer meet their deadline."""
         for queue in self.order:
