Keep endpoints whose old connections went silent

Cause: a middlebox that forgets its connections makes all established ones time out at once. Each time-out counted as a failure of the endpoint, so half of the pool was excluded although new connections worked. Connections to the addresses of replaced instances were never closed.

Change: a first-byte time-out on a reused connection is no sign of the endpoint's health; the retry goes elsewhere on a new connection. Idle connections are swept when one is put back, at most once in endpoints.reuse_idle_s.

Conclusion: half-open connections cost one retry each, and no capacity.

--- a/cyclamenscale/attempts.py
+++ b/cyclamenscale/attempts.py
@@ -35,8 +35,12 @@
 # mean that directory and scheduler disagree.
 GRANTS_LIMIT = 8
 
-# Failures that say nothing about the endpoint's health.
-NEUTRAL = frozenset(("reused_connection_closed", "answer_too_large"))
+# Failures that say nothing about the endpoint's health. A middlebox that
+# forgets its connections makes all that are established time out at once,
+# while the endpoint answers on new ones.
+NEUTRAL = frozenset(
+    ("reused_connection_closed", "first_byte_timeout", "answer_too_large")
+)
 
 # Failures that a further try would meet again.
 FINAL = frozenset(("answer_too_large",))
@@ -281,8 +285,10 @@
             if error.leaving:
                 health.leave(endpoint.name, "refusal", now_s)
             self.exclude(progress, endpoint.name)
-        elif error.reason not in NEUTRAL:
+            return
+        if error.reason not in NEUTRAL:
             health.fail(endpoint.name, "call", now_s)
+        if error.reason != "reused_connection_closed":
             self.exclude(progress, endpoint.name)
 
     def exclude(self, progress: Progress, name: str) -> None:
--- a/cyclamenscale/endpoints.py
+++ b/cyclamenscale/endpoints.py
@@ -117,8 +117,9 @@
         self.settings = settings.endpoints
         self.metrics = metrics
         self.clock = clock
-        # Guards idle.
+        # Guards idle, swept_s.
         self.lock = Lock()
+        self.swept_s = clock()
         self.idle: dict[str, list[Channel]] = {}
 
     def call(
@@ -304,13 +305,20 @@
     def check_in(self, address: str, channel: Channel) -> None:
         """Keep a channel for the next request."""
         channel.used = True
-        channel.idle_since = self.clock()
+        now_s = channel.idle_since = self.clock()
         with self.lock:
             stack = self.idle.setdefault(address, [])
-            if len(stack) < IDLE_LIMIT:
+            full = len(stack) >= IDLE_LIMIT
+            if not full:
                 stack.append(channel)
-                return
-        channel.close()
+            due = now_s - self.swept_s > self.settings.reuse_idle_s
+            if due:
+                self.swept_s = now_s
+        if full:
+            channel.close()
+        if due:
+            # Addresses of replaced instances are never checked out again.
+            self.sweep()
 
     def forget(self, address: str) -> None:
         """Close the idle channels of an endpoint."""
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -75,6 +75,20 @@
         assert path.dispatcher.handle(PLAN).outcome == "answered"
 
 
+def test_many_silent_connections_exclude_no_endpoint():
+    """Guards against the loss of half a pool by one middlebox."""
+    with Path(2, first_byte_s=0.5) as path, ThreadPoolExecutor(8) as pool:
+        slow = PLAN._replace(headers=(*PLAN.headers, ("X-Run-Ms", "200")))
+        list(pool.map(path.dispatcher.handle, [slow] * 8))
+        for endpoint in path.endpoints:
+            endpoint.go_silent()
+        answers = list(pool.map(path.dispatcher.handle, [slow] * 8))
+        assert {answer.outcome for answer in answers} == {"answered"}
+        cut = path.metrics.snapshot()["endpoints.first_byte_timeout"]
+        assert cut > 2 * path.settings.outliers.consecutive_failures
+        assert len(path.health.pool("p").usable(monotonic())) == 2
+
+
 def test_a_leaving_endpoint_gets_one_refused_request(path):
     """Guards against new work for an endpoint that is leaving."""
     path.endpoints[0].leaving = True
--- a/test/test_endpoints.py
+++ b/test/test_endpoints.py
@@ -153,6 +153,19 @@
     assert call.endpoint.accepted == 2
 
 
+def test_connections_to_replaced_endpoints_are_closed(call):
+    """Guards against descriptors that pile up with each new address."""
+    old = call.endpoint
+    call()
+    call.endpoint = StandinEndpoint("e0")
+    call.endpoint.start()
+    now_s = monotonic()
+    call.client.clock = lambda: now_s + 60
+    call()
+    assert list(call.client.idle) == [call.endpoint.address]
+    old.stop()
+
+
 def test_sockets_notice_a_dead_connection_by_themselves():
     """Guards against waits without end on half-open connections."""
     settings = Settings().endpoints
