Split the scheduler and the entry's side of slots

Change: occupancy.py, endpoint_choice.py and slot_handover.py take methods over unchanged. The test uses three requests.

--- a/cyclamenscale/scheduling.py
+++ b/cyclamenscale/scheduling.py
@@ -12,14 +12,14 @@
 """
 
 from collections.abc import Callable
-from heapq import heapify, heappop, heappush
 from random import Random
 
+from cyclamenscale.endpoint_choice import TRIP_MS, EndpointChoice
 from cyclamenscale.errors import NotFoundError
 from cyclamenscale.messages import DoneItem, GrantItem, HoldingItem, WantItem
 from cyclamenscale.model import Endpoint
-from cyclamenscale.queues import ClassQueue, Key, Running, Spot, Waiting
-from cyclamenscale.runtimes import Quantiles, RunTimes
+from cyclamenscale.queues import ClassQueue, Key, Spot, Waiting
+from cyclamenscale.runtimes import RunTimes
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
@@ -28,25 +28,11 @@
 #: Shortest and longest time a refused caller is told to wait.
 RETRY_AFTER_MIN_MS = 100
 RETRY_AFTER_MAX_MS = 60_000
-#: Trunk reservation: long work that is not starved starts only while more
-#: than this share of the pool's slots is free, so that long work that came
-#: with the first requests of a burst does not hold slots throughout it.
-#: Measured in docs/decisions/002-slots-of-a-pool.md.
-LONG_RESERVE = 0.4
-#: The reservation no longer holds for a request that has waited for this
-#: share of its slack.
-RESERVE_SLACK_SHARE = 0.25
 #: Above this share of free slots entries may report freed ones later.
 AMPLE_SHARE = 0.2
-#: How much more slack than the head a request may have to run in its own
-#: data centre instead, and how many are looked at.
-NEAR_S = 0.02
-NEAR_LOOK = 16
 #: Requests tried behind one that can use none of the free slots, because it
 #: excludes them or is held back for its data centre.
 LOOK_AHEAD = 64
-#: Latency between data centres: the deployments have 0.5 and 1.5 ms.
-TRIP_MS = 1.0
 
 
 def policy(name: str) -> Callable[[type], type]:
@@ -72,7 +58,7 @@
     return POLICIES[name]
 
 
-class PoolScheduler:
+class PoolScheduler(EndpointChoice):
     """Scheduler of one pool.
 
     :param settings: the whole settings.
@@ -94,33 +80,20 @@
         trip_ms: float = TRIP_MS,
     ):
         """Start without endpoints, classes and requests."""
-        self.settings = settings.scheduling
-        self.clock = clock
-        self.rng = rng
-        self.runtimes = runtimes or RunTimes(settings, clock)
-        self.choice = choice
-        self.trip_ms = trip_ms
-        self.spots: dict[str, Spot] = {}
-        self.centres: dict[str, str] = {}
-        self.targets: dict[str, float] = {}
+        super().__init__(
+            settings,
+            clock,
+            rng,
+            runtimes or RunTimes(settings, clock),
+            choice,
+            trip_ms,
+        )
         self.queues: dict[str, ClassQueue] = {}
-        self.order: list[ClassQueue] = []
         self.epochs: dict[str, int] = {}
         self.classes: dict[Key, str] = {}
-        self.running: dict[Key, Running] = {}
-        #: Slots granted to requests that had taken over another one.
-        self.crossed: dict[Key, Running] = {}
-        #: When each running request counts as long; the number orders
-        #: equal times.
-        self.watched: list[tuple[float, int, Running]] = []
-        self.pushed = 0
         self.refused: list[tuple[str, GrantItem]] = []
-        self.long_used = 0
-        self.total = 0
         #: Whether long work waited longer than ``starvation_s``.
         self.starved = False
-        #: When a request held back for its data centre may go elsewhere.
-        self.held_until_s: float | None = None
 
     # Views.
 
@@ -224,19 +197,9 @@
         if item.whole and learn:
             self.runtimes.record(running.class_name, item.run_ms)
         if item.next:
-            self.hand_over(Key(entry, item.next), running)
-
-    def hand_over(self, key: Key, before: Running) -> None:
-        """Note that an entry reused a slot for a request of the same class.
-
-        A grant for that request may be under way. Its slot stays in use
-        until the entry says what became of it, under the negative number.
-        """
-        self.drop(key)
-        crossed = self.running.pop(key, None)
-        if crossed is not None:
-            self.crossed[key] = crossed
-        self.occupy(key, before.class_name, before.spot, self.clock())
+            key = Key(entry, item.next)
+            self.drop(key)
+            self.hand_over(key, running)
 
     def head_ms(self) -> int:
         """Return the slack at the head of the most urgent queue.
@@ -335,16 +298,6 @@
             self.queues.values(), key=lambda queue: queue.target_ms
         )
 
-    def known_targets(self) -> dict[str, float]:
-        """Return the targets of all classes, also of unconfigured ones."""
-        return {queue.name: queue.target_ms for queue in self.order} | (
-            self.targets
-        )
-
-    def quantiles(self, queue: ClassQueue) -> Quantiles:
-        """Return the run time estimates of a queue's class."""
-        return self.runtimes.quantiles(queue.name, queue.target_ms)
-
     def wait_ms(self, queue: ClassQueue) -> float:
         """Return the expected wait of a new request, 0 with a free slot.
 
@@ -377,56 +330,6 @@
         name = self.classes.pop(key, None)
         return None if name is None else self.queues[name].remove(key)
 
-    def occupy(
-        self, key: Key, class_name: str, spot: Spot, since_s: float
-    ) -> None:
-        """Put a request on a slot."""
-        running = Running(key, class_name, spot, since_s)
-        self.running[key] = running
-        spot.used += 1
-        targets = self.known_targets()
-        targets.setdefault(class_name, RETRY_AFTER_MAX_MS)
-        limit_ms = self.runtimes.long_limit_ms(targets)
-        p90_ms = self.runtimes.quantiles(
-            class_name, targets[class_name]
-        ).p90_ms
-        if p90_ms > limit_ms:
-            self.mark_long(running)
-        else:
-            due_s = since_s + limit_ms / 1000
-            self.pushed += 1
-            heappush(self.watched, (due_s, self.pushed, running))
-
-    def mark_long(self, running: Running) -> None:
-        """Count a running request against the share of long work."""
-        running.long = True
-        running.spot.long_used += 1
-        self.long_used += 1
-
-    def free(self, running: Running) -> None:
-        """Free a slot."""
-        spot = running.spot
-        spot.used -= 1
-        if running.long:
-            spot.long_used -= 1
-            self.long_used -= 1
-
-    def watch(self, now_s: float) -> None:
-        """Count requests that turned out to run long as long work."""
-        while self.watched and self.watched[0][0] <= now_s:
-            running = heappop(self.watched)[2]
-            if self.runs(running) and not running.long:
-                self.mark_long(running)
-        if len(self.watched) > 2 * len(self.running) + 64:
-            self.watched = [
-                item for item in self.watched if self.runs(item[2])
-            ]
-            heapify(self.watched)
-
-    def runs(self, running: Running) -> bool:
-        """Return whether this very request still runs."""
-        return self.running.get(running.key) is running
-
     def expire(self, now_s: float) -> None:
         """Refuse requests that can no longer meet their deadline."""
         for queue in self.order:
@@ -523,25 +426,6 @@
             if not others:
                 return
 
-    def nearer(self, head: Waiting, queue: ClassQueue, spot: Spot) -> Waiting:
-        """Return the request to run at an endpoint.
-
-        It is the head of the queue, or one with about the same slack from
-        an entry in the endpoint's data centre: while requests queue, slots
-        become free one by one and leave no choice of the endpoint.
-        """
-        centre = spot.data_centre
-        if self.centres.get(head.key.entry) == centre:
-            return head
-        limit_s = head.deadline_s + NEAR_S
-        for waiting in queue.first(NEAR_LOOK):
-            if waiting.deadline_s > limit_s:
-                break
-            near = self.centres.get(waiting.key.entry) == centre
-            if near and spot.name not in waiting.exclude:
-                return waiting
-        return head
-
     def grant(
         self, waiting: Waiting, spot: Spot, now_s: float
     ) -> tuple[str, GrantItem]:
@@ -549,87 +433,3 @@
         self.drop(waiting.key)
         self.occupy(waiting.key, waiting.class_name, spot, now_s)
         return waiting.key.entry, GrantItem(waiting.key.number, spot.name)
-
-    def choose(
-        self,
-        waiting: Waiting,
-        queue: ClassQueue,
-        long: bool,
-        starved: bool,
-        now_s: float,
-    ) -> tuple[Spot | None, bool]:
-        """Choose an endpoint.
-
-        :returns: the endpoint or None, and whether a request behind this
-            one may find a slot.
-        """
-        share = self.settings.long_share
-        if long and not starved and self.reserved(waiting, now_s):
-            return None, False
-        if long and self.long_used >= max(1, int(share * self.total)):
-            return None, False
-        free = [
-            spot
-            for spot in self.spots.values()
-            if spot.used < spot.allowed
-            and not (
-                long and spot.long_used >= max(1, int(share * spot.allowed))
-            )
-        ]
-        if not free:
-            return None, False
-        fit = [spot for spot in free if spot.name not in waiting.exclude]
-        if not fit:
-            if all(
-                spot.name in waiting.exclude
-                for spot in self.spots.values()
-                if spot.allowed
-            ):
-                self.refuse(waiting, queue)
-            return None, True
-        centre = self.centres.get(waiting.key.entry, "")
-        near = [spot for spot in fit if spot.data_centre == centre]
-        if not near and centre and self.hold(waiting, queue, centre, now_s):
-            return None, True
-        return self.pick(near or fit), True
-
-    @property
-    def free_slots(self) -> int:
-        """Return the number of free slots of the pool."""
-        return self.total - len(self.running) - len(self.crossed)
-
-    def reserved(self, waiting: Waiting, now_s: float) -> bool:
-        """Return whether the free slots are kept from a long request."""
-        if self.free_slots > LONG_RESERVE * self.total:
-            return False
-        slack_s = waiting.deadline_s - waiting.since_s
-        return now_s - waiting.since_s < RESERVE_SLACK_SHARE * slack_s
-
-    def hold(
-        self, waiting: Waiting, queue: ClassQueue, centre: str, now_s: float
-    ) -> bool:
-        """Return whether to wait for a slot in the entry's data centre.
-
-        It is worth it only while the expected wait is below the trip to
-        another data centre.
-        """
-        busy = sum(
-            spot.used
-            for spot in self.spots.values()
-            if spot.data_centre == centre and spot.allowed
-        )
-        until_s = waiting.since_s + self.trip_ms / 1000
-        if until_s <= now_s:
-            return False
-        if not busy or self.quantiles(queue).mean_ms / busy >= self.trip_ms:
-            return False
-        if self.held_until_s is None or until_s < self.held_until_s:
-            self.held_until_s = until_s
-        return True
-
-    def pick(self, spots: list[Spot]) -> Spot:
-        """Choose among endpoints with a free slot."""
-        if self.choice == "two_choices" and len(spots) > 2:
-            spots = self.rng.sample(spots, 2)
-        most = max(spot.free for spot in spots)
-        return self.rng.choice([spot for spot in spots if spot.free == most])
--- a/test/test_scheduling.py
+++ b/test/test_scheduling.py
@@ -229,9 +229,9 @@
 
 def test_grant_and_hand_over_may_come_at_the_same_time(bench):
     """Guards against a crash when a paused scheduler catches up."""
-    first, second = bench.want("short", 2)
+    first, second, _ = bench.want("short", 3)
     bench.grants()
     bench.scheduler.done("e", DoneItem(first, 10, True, second))
-    assert sum(s.used for s in bench.scheduler.spots.values()) == 2
+    assert sum(s.used for s in bench.scheduler.spots.values()) == 3
     bench.scheduler.done("e", DoneItem(-second, 0, False))
-    assert sum(s.used for s in bench.scheduler.spots.values()) == 1
+    assert sum(s.used for s in bench.scheduler.spots.values()) == 2
