Renew control leases less often, set first-byte limits and maintenance times

Cause: with 8 entries at rest the store saw 9 writes a second, one renewal a second for each entry; connections that went silent were bounded by keep-alive only; instances without history were drained at once. Change: an entry makes a control lease only when it takes a pool and renews it every 2 s; the learned p99 run time bounds the first byte on reused connections; an instance counts as maintained when it is assigned. Two benchmarks: bench path and bench changes.

--- /dev/null
+++ b/cyclamenscale/bench/changes.py
@@ -0,0 +1,111 @@
+"""Measures changes of configuration: time to in force, calls on the store."""
+
+import time
+from threading import Event
+
+from cyclamenscale.local import POOL, Deployment
+from cyclamenscale.local_report import quantile
+from cyclamenscale.settings import Settings, ShutdownSettings
+from cyclamenscale.ui.client import Client
+from cyclamenscale.util.tables import table
+
+ENTRIES = 8
+CHANGES = 60
+REST_S = 10.0
+
+#: Store calls that write; the others are reads, a waiting watch is one.
+WRITES = ("txn", "lease_grant", "lease_keep_alive", "lease_revoke")
+
+
+def store_calls(deployment: Deployment) -> tuple[int, int]:
+    """Return the writes and reads that all entries have made."""
+    writes = reads = 0
+    for entry in deployment.entries:
+        for name, count in entry.store.counts().items():
+            if name in WRITES:
+                writes += count
+            else:
+                reads += count
+    return writes, reads
+
+
+def rate(deployment: Deployment, action) -> tuple[float, float]:
+    """Return writes and reads a second while an action runs."""
+    before, began_s = store_calls(deployment), time.monotonic()
+    action()
+    taken_s = time.monotonic() - began_s
+    after = store_calls(deployment)
+    return tuple((b - a) / taken_s for a, b in zip(before, after, strict=True))
+
+
+def make_changes(deployment: Deployment, times_s: list[float]) -> None:
+    """Change a target through the entries in turn.
+
+    A change counts as in force when every entry shows it; the time is taken
+    at the operator's side, from the request to the answer.
+    """
+    for number in range(CHANGES):
+        entry = deployment.entries[number % len(deployment.entries)]
+        client = Client([entry.operators.address])
+        fields = {
+            "pool": POOL,
+            "finish_within_ms": 2000 + number,
+            "max_out_share": 0.25,
+            "repeatable": True,
+        }
+        began_s = time.monotonic()
+        client.change(
+            "PUT", "/v1/classes/replan", fields, who="bench", why="load"
+        )
+        times_s.append(time.monotonic() - began_s)
+        for each in deployment.entries:
+            shown = each.table.view.classes["replan"].finish_within_ms
+            if shown != 2000 + number:
+                name = each.settings.entry.name
+                raise RuntimeError(f"{name} does not show change {number}")
+
+
+def run() -> str:
+    """Measure with eight entries.
+
+    :returns: tables of the times and of the store's calls.
+    """
+    settings = Settings(shutdown=ShutdownSettings(unready_s=0.1))
+    deployment = Deployment(ENTRIES, 4, settings)
+    times_s: list[float] = []
+    try:
+        deployment.start()
+        deployment.configure()
+        deployment.wait_usable()
+        rest = rate(deployment, lambda: Event().wait(REST_S))
+        busy = rate(deployment, lambda: make_changes(deployment, times_s))
+        peer_bytes = [each.link.bytes_sent for each in deployment.entries]
+        before_s = time.monotonic()
+        Event().wait(REST_S)
+        peer_rate = max(
+            (each.link.bytes_sent - sent) / (time.monotonic() - before_s)
+            for each, sent in zip(deployment.entries, peer_bytes, strict=True)
+        )
+    finally:
+        deployment.stop()
+    times = table(
+        ("entries", "changes", "p50 s", "max s"),
+        [
+            (
+                ENTRIES,
+                CHANGES,
+                f"{quantile(times_s, 0.5):.3f}",
+                f"{max(times_s):.3f}",
+            )
+        ],
+    )
+    calls = table(
+        ("store calls", "writes/s", "reads/s"),
+        [
+            ("at rest", f"{rest[0]:.1f}", f"{rest[1]:.1f}"),
+            ("under changes", f"{busy[0]:.1f}", f"{busy[1]:.1f}"),
+        ],
+    )
+    return f"{times}\n{calls}\npeer bytes/s at rest, highest entry: " + (
+        f"{peer_rate:.0f}"
+    )
--- /dev/null
+++ b/cyclamenscale/bench/path.py
@@ -0,0 +1,161 @@
+"""Measures the request path on real sockets, against direct calls.
+
+Callers, entries and stand-in endpoints share one process and therefore one
+interpreter lock, so that the absolute figures are lower bounds; each is
+given as a ratio to direct calls to the same endpoints in the same run.
+"""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from io import BytesIO
+from typing import NamedTuple
+
+import pycurl
+
+from cyclamenscale.local import DemoClass, Deployment
+from cyclamenscale.local_report import quantile
+from cyclamenscale.settings import CallersSettings, Settings, ShutdownSettings
+from cyclamenscale.util.tables import table
+
+LATENCY_CALLS = 300
+LOAD_CALLS = 1500
+LOAD_THREADS = 16
+CLASS = DemoClass("replan", 5000, True, (0, 0), 1.0)
+
+#: Entries, endpoints and further classes of each line of the table.
+SHAPES = ((1, 4, 0), (1, 16, 0), (2, 4, 0), (4, 4, 0), (1, 4, 50))
+
+
+class PathFigures(NamedTuple):
+    """Figures of one target.
+
+    :ivar p50_ms: median latency of one caller at a time.
+    :ivar p99_ms: its 99th percentile.
+    :ivar per_s: requests a second with 16 callers.
+    :ivar cpu_ms: processor time of the process for each request.
+    """
+
+    p50_ms: float
+    p99_ms: float
+    per_s: float
+    cpu_ms: float
+
+
+class Caller:
+    """A caller that keeps its connection.
+
+    :param address: ``host:port``.
+    :param headers: headers of each request.
+    """
+
+    def __init__(self, address: str, headers: list[str]):
+        """Prepare the handle."""
+        self.curl = pycurl.Curl()
+        self.curl.setopt(pycurl.URL, f"http://{address}/plan")
+        self.curl.setopt(pycurl.PROXY, "")
+        self.curl.setopt(pycurl.NOSIGNAL, 1)
+        self.curl.setopt(pycurl.HTTPHEADER, headers)
+
+    def call(self) -> float:
+        """Make one call.
+
+        :returns: its duration in milliseconds.
+        :raises RuntimeError: if it was not answered with status 200.
+        """
+        body = BytesIO()
+        self.curl.setopt(pycurl.WRITEFUNCTION, body.write)
+        began_s = time.perf_counter()
+        self.curl.perform()
+        taken_ms = (time.perf_counter() - began_s) * 1000
+        status = self.curl.getinfo(pycurl.RESPONSE_CODE)
+        if status != 200:
+            raise RuntimeError(f"status {status}: {body.getvalue()[:200]!r}")
+        return taken_ms
+
+
+def measure(addresses: list[str], headers: list[str]) -> PathFigures:
+    """Measure latency and throughput of calls to some addresses."""
+
+    def work(number: int) -> list[float]:
+        caller = Caller(addresses[number % len(addresses)], headers)
+        calls = LOAD_CALLS // LOAD_THREADS
+        return [caller.call() for _ in range(calls)]
+
+    single = Caller(addresses[0], headers)
+    for _ in range(20):
+        single.call()
+    latency = [single.call() for _ in range(LATENCY_CALLS)]
+    cpu_s, began_s = time.process_time(), time.perf_counter()
+    with ThreadPoolExecutor(LOAD_THREADS) as pool:
+        done = sum(len(each) for each in pool.map(work, range(LOAD_THREADS)))
+    wall_s = time.perf_counter() - began_s
+    cpu_s = time.process_time() - cpu_s
+    return PathFigures(
+        quantile(latency, 0.5),
+        quantile(latency, 0.99),
+        done / wall_s,
+        cpu_s / done * 1000,
+    )
+
+
+def measure_shape(
+    entries: int, endpoints: int, classes: int
+) -> tuple[PathFigures, PathFigures]:
+    """Measure direct calls and calls through entries in one deployment."""
+    settings = Settings(
+        shutdown=ShutdownSettings(unready_s=0.1),
+        callers=CallersSettings(threads=LOAD_THREADS * 2),
+    )
+    deployment = Deployment(entries, endpoints, settings)
+    more = tuple(CLASS._replace(name=f"class-{n}") for n in range(classes))
+    try:
+        deployment.start()
+        deployment.configure((CLASS, *more))
+        deployment.wait_usable()
+        direct = measure(
+            [each.address for each in deployment.endpoints.values()], []
+        )
+        through = measure(
+            [each.callers.address for each in deployment.entries],
+            [f"Cyclamen-Class: {CLASS.name}"],
+        )
+    finally:
+        deployment.stop()
+    return direct, through
+
+
+def row(
+    shape: tuple[int, int, int], direct: PathFigures, through: PathFigures
+) -> list:
+    """Return one line of the table."""
+    return [
+        *shape,
+        f"{through.p50_ms:.2f}",
+        f"{through.p99_ms:.2f}",
+        f"{through.per_s:.0f}",
+        f"{through.cpu_ms:.2f}",
+        f"{through.p50_ms / direct.p50_ms:.2f}",
+        f"{through.per_s / direct.per_s:.2f}",
+        f"{through.cpu_ms / direct.cpu_ms:.2f}",
+    ]
+
+
+def run() -> str:
+    """Measure all shapes.
+
+    :returns: a table; ratios are to direct calls in the same run.
+    """
+    columns = (
+        "entries",
+        "endpoints",
+        "more classes",
+        "p50 ms",
+        "p99 ms",
+        "requests/s",
+        "cpu ms",
+        "p50 ratio",
+        "requests/s ratio",
+        "cpu ratio",
+    )
+    rows = [row(shape, *measure_shape(*shape)) for shape in SHAPES]
+    return table(columns, rows)
--- a/cyclamenscale/control.py
+++ b/cyclamenscale/control.py
@@ -17,8 +17,9 @@
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
 
-#: Renewals in the time to live of the lease.
-RENEWALS_PER_LEASE = 4
+#: Renewals in the time to live of the lease. More of them would cost a
+#: write a second for each entry.
+RENEWALS_PER_LEASE = 2
 
 #: Share of the time to live after which an entry that could not renew its
 #: lease stops controlling; the store counts from an earlier moment.
@@ -94,12 +95,12 @@
             self.metrics.incr("control.store_errors")
 
     def renew(self) -> None:
-        """Make or renew the lease when it is time."""
+        """Renew the lease when it is time."""
         now_s = self.clock()
-        if not self.lease:
-            self.lease = self.store.lease_grant(self.ttl_s)
-            self.renewed_s = now_s
-        elif now_s - self.renewed_s >= self.ttl_s / RENEWALS_PER_LEASE:
+        if (
+            self.lease
+            and now_s - self.renewed_s >= self.ttl_s / RENEWALS_PER_LEASE
+        ):
             self.store.lease_keep_alive(self.lease)
             self.renewed_s = now_s
 
@@ -113,7 +114,7 @@
         self.fences = {
             pool: each.create_revision
             for pool, each in found.items()
-            if each.lease == self.lease
+            if self.lease and each.lease == self.lease
         }
         for pool in sorted(pools):
             mine = preferred_holder(pool, alive) == self.name
@@ -130,6 +131,10 @@
     def take(self, pool: str) -> None:
         """Take control of a pool that nobody controls."""
         key = CONTROL_PREFIX + pool
+        if not self.lease:
+            began_s = self.clock()
+            self.lease = self.store.lease_grant(self.ttl_s)
+            self.renewed_s = began_s
         put = Put(key, encode_record(self.record), self.lease)
         result = self.store.txn([Compare(key, 0)], [put])
         if result.succeeded:
--- a/cyclamenscale/entry.py
+++ b/cyclamenscale/entry.py
@@ -41,6 +41,10 @@
 #: How long the peer link may take to bind its address.
 BIND_S = 10.0
 
+#: An answer is overdue after this many times the class's p99 run time.
+FIRST_BYTE_FACTOR = 4.0
+FIRST_BYTE_MIN_S = 1.0
+
 
 class Entry:
     """The components of one entry instance.
@@ -128,8 +132,21 @@
             metrics,
             monotonic,
             Random(),
+            self.first_byte_limit,
         )
 
+    def first_byte_limit(self, class_name: str) -> float | None:
+        """Return when an answer on a reused connection is overdue.
+
+        :returns: seconds, from the learned run times of the class; None if
+            the class does not exist.
+        """
+        request_class = self.table.view.classes.get(class_name)
+        if request_class is None:
+            return None
+        p99_s = self.slots.run_times(request_class).p99_ms / 1000
+        return max(FIRST_BYTE_MIN_S, p99_s * FIRST_BYTE_FACTOR)
+
     def build_servers(self) -> None:
         """Make the servers of callers and operators."""
         settings, metrics = self.settings, self.metrics
--- a/cyclamenscale/operations.py
+++ b/cyclamenscale/operations.py
@@ -331,6 +331,10 @@
                 _, pool = self.store.get(POOL_PREFIX + target)
                 view = with_record(view, "pool", target, pool)
             new = PARSERS[kind](name, fields, view)
+            if kind == "instance" and old is None:
+                # Its history is unknown. Counted as never maintained, a new
+                # pool would begin to drain at once.
+                new = new._replace(maintained_s=self.wall_clock())
             prepared = Prepared(key, old, new, pool)
         if expected_revision not in (None, revision_of(old)):
             self.conflict(prepared, old)
