Place pool jobs as tasks on workers

Cause: pool jobs had no path from a queue to a worker; declared sizes are wrong, some jobs can never run, some workers fail every task, and two placers may act at the same time.

Change: jobs are records changed by grouped compare-and-swap, with their task in the same record. One placer per pool, under the fencing token of the pool's control, claims a task in the store before it starts it. Workers come from an index by free resources; sizes are learned from reports.

--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -432,3 +432,76 @@
         """Keep the name of the component."""
         super().__init__(f"component {component} ended without being stopped")
         self.component = component
+
+
+class JobImpossibleError(UserError):
+    """No worker of the pool could run a job, not even an idle one.
+
+    :param job: id of the job.
+    :param resource: the resource that no worker has enough of, or
+        ``combination`` if each is found, but not on one worker.
+    :param asked: how much the job needs.
+    :param largest: the most that any worker has.
+    """
+
+    code = "job_impossible"
+    exit_status = 9
+
+    def __init__(
+        self, job: str, resource: str, asked: object, largest: object
+    ):
+        """Keep what was asked beside what there is."""
+        super().__init__(
+            f"job {job} can never run: it needs {asked} of {resource}, "
+            f"the largest worker has {largest}"
+        )
+        self.job = job
+        self.resource = resource
+        self.asked = asked
+        self.largest = largest
+
+
+class JobStateError(CyclamenError):
+    """A job cannot go from its state to another one.
+
+    :param job: id of the job.
+    :param found: its state.
+    :param wanted: the state that was asked for.
+    """
+
+    def __init__(self, job: str, found: str, wanted: str):
+        """Keep both states."""
+        super().__init__(f"job {job} is {found} and cannot become {wanted}")
+        self.job = job
+        self.found = found
+        self.wanted = wanted
+
+
+class ControlLostError(CyclamenError):
+    """A transaction found that the pool's control has moved on.
+
+    :param pool: name of the pool.
+    :param fence: fencing token that was held.
+    """
+
+    def __init__(self, pool: str, fence: int):
+        """Keep the token."""
+        super().__init__(f"control of pool {pool} at {fence} is lost")
+        self.pool = pool
+        self.fence = fence
+
+
+class TaskRefusedError(CyclamenError):
+    """A worker refused to start a task; the task did not run there.
+
+    :param worker: name of the worker.
+    :param task: id of the task.
+    :param reason: ``full``, ``leaving`` or ``stopped``.
+    """
+
+    def __init__(self, worker: str, task: str, reason: str):
+        """Keep the reason."""
+        super().__init__(f"worker {worker} refused task {task}: {reason}")
+        self.worker = worker
+        self.task = task
+        self.reason = reason
--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -291,6 +291,82 @@
     ] = 6
 
 
+class PlacementSettings(NamedTuple):
+    """``[placement]``: pool jobs on workers."""
+
+    policy: Annotated[
+        str,
+        Choices("observed", "first_fit_declared"),
+        "policy that sizes and places tasks",
+    ] = "observed"
+    quantile: Annotated[
+        float,
+        Range(0.5, 1),
+        "quantile of observed usage that a task is allocated",
+    ] = 0.9
+    history_limit: Annotated[
+        int,
+        Range(100, 1000000),
+        "teams and kinds of jobs whose usage is remembered, for each pool",
+    ] = 10000
+    overload_share: Annotated[
+        float,
+        Range(0.1, 2),
+        "share of a worker's resources in use above which it is relieved",
+    ] = 0.95
+    settle_s: Annotated[
+        float,
+        Range(0, 3600),
+        "time until a worker that was relieved is judged again; longer than "
+        "the lag of the usage reports",
+    ] = 5.0
+    learn_after_s: Annotated[
+        float,
+        Range(0, 86400),
+        "run time after which a running task's usage is learned",
+    ] = 30.0
+    quarantine_jobs: Annotated[
+        int,
+        Range(2, 60),
+        "distinct jobs of two teams or more whose failures quarantine a "
+        "worker",
+    ] = 3
+    quarantine_s: Annotated[float, Range(1, 604800), "time in quarantine"] = (
+        3600.0
+    )
+    max_quarantined_share: Annotated[
+        float, Range(0, 1), "share of a pool's workers in quarantine"
+    ] = 0.1
+    bad_job_workers: Annotated[
+        int, Range(1, 8), "good workers on which a bad job has failed"
+    ] = 3
+    lost_s: Annotated[
+        float,
+        Range(1, 86400),
+        "time without a report of a task after which it counts as lost",
+    ] = 30.0
+    task_lease_s: Annotated[
+        float,
+        Range(10, 604800),
+        "time without renewal after which a worker ends a task; longer "
+        "than the outages of the store that tasks should survive",
+    ] = 7200.0
+    retention_s: Annotated[
+        float,
+        Range(0, 2592000),
+        "time for which an ended job is kept in the store",
+    ] = 3600.0
+    decisions_per_tick: Annotated[
+        int, Range(1, 100000), "placements tried in one tick of a pool"
+    ] = 1000
+    writes_per_s: Annotated[
+        float, Range(0.1, 300), "store writes a second, for each pool"
+    ] = 2.0
+    writes_burst: Annotated[
+        int, Range(1, 1000), "store writes a pool may save up"
+    ] = 20
+
+
 class AuditSettings(NamedTuple):
     """``[audit]``: the trail of changes and decisions."""
 
@@ -375,6 +451,7 @@
     outliers: OutliersSettings = OutliersSettings()
     claims: ClaimsSettings = ClaimsSettings()
     fleet: FleetSettings = FleetSettings()
+    placement: PlacementSettings = PlacementSettings()
     audit: AuditSettings = AuditSettings()
     metrics: MetricsSettings = MetricsSettings()
     supervisor: SupervisorSettings = SupervisorSettings()
--- /dev/null
+++ b/test/test_placement.py
@@ -0,0 +1,242 @@
+"""Tests of placement decisions: index, policies, overload, quarantine."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from cyclamenscale.errors import FieldError, JobImpossibleError
+from cyclamenscale.job_records import JobRecord, JobSpec
+from cyclamenscale.overload import LoadedTask, lift, relieve
+from cyclamenscale.placement import (
+    PLACEMENT_POLICIES,
+    Spread,
+    by_urgency,
+    make_policy,
+    quota_admits,
+)
+from cyclamenscale.platform import Resources, TaskReport
+from cyclamenscale.quarantine import Failures
+from cyclamenscale.usage_history import UsageHistory
+from cyclamenscale.worker_index import SCAN_LIMIT, WorkerIndex
+
+BIG = Resources(64, 256, 4)
+
+
+def policy_on(name: str, *capacities: Resources):
+    """Make a policy on workers w0, w1, ... in three data centres."""
+    index = WorkerIndex(Random(1))
+    for number, capacity in enumerate(capacities):
+        index.put(
+            f"w{number}",
+            f"d{number % 3}",
+            f"r{number % 2}",
+            capacity,
+            capacity,
+            True,
+        )
+    return make_policy(name, index, UsageHistory(0.9, 100), Spread())
+
+
+def spec_of(processors=1.0, memory_gb=1.0, accelerators=0, **parts):
+    declared = Resources(processors, memory_gb, accelerators)
+    return JobSpec("j", "north", "t1", "k1", declared)._replace(**parts)
+
+
+amounts = st.builds(
+    Resources,
+    st.sampled_from([0.05, 0.3, 1.0, 3.7, 16.0, 64.0]),
+    st.sampled_from([0.05, 0.9, 4.0, 33.0, 256.0]),
+    st.integers(0, 4),
+)
+
+
+@given(
+    free=st.lists(amounts, min_size=1, max_size=30),
+    need=amounts,
+    seed=st.integers(0, 3),
+)
+@hypothesis_settings(max_examples=200)
+def test_index_finds_a_worker_exactly_if_there_is_one(free, need, seed):
+    """Guards against overfilled workers and room that is never found."""
+    index = WorkerIndex(Random(seed))
+    for number, each in enumerate(free):
+        index.put(f"w{number}", "d", "r", BIG, BIG, number % 5 != 4)
+        index.change(index.workers[f"w{number}"], each)
+    found = index.candidates(need)
+    assert all(need.fits(each.free) and each.available for each in found)
+    assert bool(found) == any(
+        need.fits(each) for n, each in enumerate(free) if n % 5 != 4
+    )
+    for name in list(index.workers):
+        index.remove(name)
+    assert not index.buckets and not index.shapes
+
+
+def test_scan_reaches_each_worker_in_bounded_steps():
+    """Guards against room that the bound of a scan hides for ever."""
+    index = WorkerIndex(Random(1))
+    count = 4 * SCAN_LIMIT
+    for number in range(count):
+        room = Resources(48, 40 if number == count - 1 else 33)
+        index.put(f"w{number}", "d", "r", room, room, True)
+    tries = [index.candidates(Resources(1, 40)) for _ in range(5)]
+    assert any(tries)
+
+
+@pytest.mark.parametrize("name", sorted(PLACEMENT_POLICIES))
+@pytest.mark.parametrize(
+    "need, resource",
+    [
+        ((65, 1, 0), "processors"),
+        ((1, 257, 0), "memory_gb"),
+        ((1, 1, 9), "accelerators"),
+        ((60, 1, 8), "combination"),
+    ],
+)
+def test_impossible_job_names_the_resource(name, need, resource):
+    """Guards against a rejection that does not say what to change."""
+    policy = policy_on(name, Resources(64, 256), Resources(32, 64, 8))
+    with pytest.raises(JobImpossibleError) as caught:
+        policy.place(spec_of(*need))
+    assert caught.value.resource == resource
+    assert resource in str(caught.value)
+
+
+def test_busy_workers_make_no_job_impossible():
+    """Guards against jobs rejected because of a full or unlisted pool."""
+    policy = policy_on("observed", BIG)
+    policy.index.take("w0", BIG)
+    assert policy.place(spec_of(8)) is None
+    assert policy_on("observed").place(spec_of(999)) is None
+
+
+def test_observed_sizes_replace_declared_ones():
+    """Guards against waste and overload from wrong declared sizes."""
+    policy = policy_on("observed", Resources(8, 8))
+    for _ in range(20):
+        policy.history.add("t1", "k1", Resources(4, 4), Resources(1, 2))
+        policy.history.add("t2", "k1", Resources(1, 1), Resources(3, 3))
+    assert policy.size(spec_of(4, 4)) == Resources(1, 2)
+    assert policy.size(spec_of(4, 4, team="t2")) == Resources(8, 8)
+    assert policy.size(spec_of(1, 1, team="t2")) == Resources(3, 3)
+    baseline = policy_on("first_fit_declared", Resources(8, 8))
+    assert baseline.size(spec_of(4, 4)) == Resources(4, 4)
+
+
+def test_history_is_bounded():
+    """Guards against a memory that grows with the names of kinds."""
+    history = UsageHistory(0.9, 10)
+    for number in range(100):
+        size = Resources(1, 1)
+        history.add("t", f"k{number}", size, size)
+    assert len(history.groups) == 10
+    assert history.dropped == 190
+
+
+def test_tasks_of_a_group_are_spread():
+    """Guards against a group that one rack or data centre takes down."""
+    policy = policy_on("observed", *[BIG] * 12)
+    used = []
+    for _ in range(6):
+        found = policy.place(spec_of())
+        worker = policy.index.workers[found.worker]
+        policy.index.take(found.worker, found.allocated)
+        policy.spread.add("t1/k1", worker)
+        used.append((worker.data_centre, worker.rack, worker.name))
+    assert {each[0] for each in used[:3]} == {"d0", "d1", "d2"}
+    assert len({each[:2] for each in used}) == 6
+
+
+def test_workers_with_accelerators_are_kept_free():
+    """Guards against accelerators blocked by jobs without need of them."""
+    plain = Resources(64, 256)
+    policy = policy_on("observed", *[BIG, plain] * 10)
+    for _ in range(20):
+        found = policy.place(spec_of())
+        assert policy.index.workers[found.worker].capacity == plain
+
+
+def test_avoided_workers_are_not_chosen():
+    """Guards against a retry on the worker that has just failed."""
+    for name in PLACEMENT_POLICIES:
+        policy = policy_on(name, BIG, BIG)
+        for _ in range(10):
+            assert policy.place(spec_of(), ("w0",)).worker == "w1"
+        assert policy.place(spec_of(), ("w0", "w1")) is None
+
+
+def test_unknown_policy_is_a_typed_error():
+    """Guards against a wrong name that ends in a traceback."""
+    with pytest.raises(FieldError):
+        policy_on("best_guess")
+
+
+def test_order_and_quota():
+    """Guards against late urgent work and exceeded quotas."""
+    jobs = [
+        JobRecord(spec_of(id=f"j{n}", urgency=n % 2), submitted_s=n)
+        for n in range(4)
+    ]
+    order = [each.spec.id for each in by_urgency(reversed(jobs))]
+    assert order == ["j0", "j2", "j1", "j3"]
+    limit = Resources(2, 2)
+    assert quota_admits(limit, Resources(1, 1), Resources(1, 1))
+    assert not quota_admits(limit, Resources(1, 1), Resources(1, 1.1))
+    assert not quota_admits(limit, Resources(), Resources(1, 1, 1))
+    assert quota_admits(None, limit, limit)
+
+
+def loaded(urgency, used, share=1.0, **parts):
+    spec = spec_of(urgency=urgency, **parts)
+    name = f"t{urgency}"
+    return LoadedTask(spec, TaskReport(name, "running", used, share))
+
+
+def test_least_urgent_tasks_give_way():
+    """Guards against urgent or at-most-once tasks that are ended."""
+    tasks = [
+        loaded(0, Resources(1, 10)),
+        loaded(1, Resources(1, 10)),
+        loaded(2, Resources(1, 10), can_checkpoint=True),
+        loaded(3, Resources(1, 10), at_most_once=True),
+    ]
+    found = relieve(tasks, Resources(4, 40), Resources(8, 24), 1.0)
+    assert [(e.kind, e.task) for e in found] == [
+        ("checkpoint", "t2"),
+        ("stop", "t1"),
+    ]
+    found = relieve(tasks, Resources(9, 20), Resources(8.8, 24), 1.0)
+    assert [(e.kind, e.task) for e in found] == [("throttle", "t3")]
+
+
+def test_throttle_is_lifted_when_there_is_room():
+    """Guards against tasks that stay slow for ever."""
+    tasks = [loaded(1, Resources(1, 1), 0.25), loaded(2, Resources(1, 1))]
+    (found,) = lift(tasks, Resources(2, 2), Resources(8, 8))
+    assert (found.task, found.share) == ("t1", 1.0)
+    assert not lift(tasks, Resources(7, 2), Resources(8, 8))
+
+
+def test_bad_workers_and_bad_jobs_are_told_apart():
+    """Guards against quarantine of good workers by one job or one team."""
+    failures = Failures(3, 3, 0.1)
+    for _ in range(10):
+        failures.add("w1", "poison", "t1")
+    assert not failures.is_bad_worker("w1")
+    for job in ("a", "b", "c"):
+        failures.add("w2", job, "t1")
+    assert not failures.is_bad_worker("w2")
+    failures.add("w2", "d", "t2")
+    assert failures.is_bad_worker("w2")
+    failures.forget_job("d")
+    assert not failures.is_bad_worker("w2")
+    failures.succeeded("w2")
+    assert "w2" not in failures.failed
+    assert failures.is_bad_job(("w1", "w2", "w3"), set())
+    assert not failures.is_bad_job(("w1", "w2", "w3"), {"w3"})
+    assert failures.may_quarantine(0, 5)
+    assert not failures.may_quarantine(1, 19)
+    assert failures.may_quarantine(1, 20)
