--- /dev/null
+++ b/cyclamenscale/bench/brokers.py
@@ -0,0 +1,198 @@
+"""The pool scheduler in the policy benchmark: real modules, virtual time."""
+
+from functools import partial
+from random import Random
+from typing import NamedTuple
+
+from cyclamenscale.bench.trace import Request
+from cyclamenscale.bench.world import World
+from cyclamenscale.messages import encode_frame
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import (
+    ConfigView,
+    Endpoint,
+    MemberList,
+    MemberRecord,
+    PoolRecord,
+    RequestClass,
+)
+from cyclamenscale.scheduling import policy
+from cyclamenscale.settings import EntrySettings, Settings
+from cyclamenscale.slots import Slot, SlotBroker
+
+
+class EntryLink:
+    """Peer link of one entry on the virtual network."""
+
+    def __init__(self, bench: "PoolSchedulerPolicy", entry: int):
+        """Start without handlers."""
+        self.bench = bench
+        self.entry = entry
+        self.name = f"entry-{entry}"
+        self.handlers: dict[type, object] = {}
+
+    def on(self, kind: type, handler) -> None:
+        """Register a handler."""
+        self.handlers[kind] = handler
+
+    def send(self, name: str, message: NamedTuple) -> bool:
+        """Send a message to an entry."""
+        target = int(name[6:])
+        size_bytes = len(encode_frame(message))
+        self.bench.world.send(
+            self.entry, target, size_bytes, self.bench.receive, target, message
+        )
+        return True
+
+    def alive(self) -> list[str]:
+        """Return the names of the live entries."""
+        return [f"entry-{entry}" for entry in self.bench.world.alive()]
+
+
+class Config:
+    """The applied configuration."""
+
+    def __init__(self, view: ConfigView):
+        """Keep the view."""
+        self.view = view
+
+
+@policy("pool_scheduler")
+class PoolSchedulerPolicy:
+    """The pool scheduler: the modules an entry runs, on virtual time."""
+
+    #: May be replaced to measure other settings.
+    base = Settings()
+
+    def __init__(self, world: World):
+        """Build one broker per entry."""
+        self.world = world
+        size = world.deployment
+        self.classes = {}
+        self.endpoints = {}
+        for pool in range(size.pools):
+            name = f"pool-{pool}"
+            for kind, target_s in (
+                ("short", size.short_target_s),
+                ("long", size.long_target_s),
+            ):
+                one = f"{kind}-{pool}"
+                self.classes[one] = RequestClass(
+                    one, name, round(target_s * 1000), 0.2
+                )
+            self.endpoints[name] = [
+                Endpoint(
+                    f"{name}-{i}", name, "", f"dc-{i % size.centres}", "r",
+                    size.slots,
+                )
+                for i in range(size.endpoints)
+            ]  # fmt: skip
+        members = tuple(
+            MemberRecord(f"entry-{i}", 1, "", f"dc-{i % size.centres}")
+            for i in range(size.entries)
+        )
+        config = Config(
+            ConfigView(
+                1,
+                self.classes,
+                {name: PoolRecord(name) for name in self.endpoints},
+                {},
+                MemberList(members),
+            )
+        )
+        self.links = [EntryLink(self, i) for i in range(size.entries)]
+        self.metrics = Metrics(self.base)
+        self.brokers = [
+            SlotBroker(
+                self.base._replace(
+                    entry=EntrySettings(
+                        name=f"entry-{i}", data_centre=f"dc-{i % size.centres}"
+                    )
+                ),
+                config,
+                lambda pool: {e.name: e.slots for e in self.endpoints[pool]},
+                lambda pool: self.endpoints[pool],
+                self.links[i],
+                self.metrics,
+                world.clock,
+                Random(f"{world.rng.random()}"),
+            )
+            for i in range(size.entries)
+        ]
+        self.due_s = [float("inf")] * size.entries
+        self.numbers: dict[int, tuple[int, str]] = {}
+
+    def wake(self, entry: int, delay_s: float = 0.0) -> None:
+        """Run the entry's loop when its batch interval allows."""
+        broker = self.brokers[entry]
+        now_s = self.world.clock.now_s
+        at_s = max(
+            now_s + delay_s,
+            broker.flushed_s + self.base.peers.batch_ms / 1000,
+        )
+        if at_s < self.due_s[entry]:
+            self.due_s[entry] = at_s
+            self.world.at(at_s, self.loop, entry, at_s)
+
+    def loop(self, entry: int, at_s: float) -> None:
+        """Run one step of an entry's loop, unless it was rescheduled."""
+        if self.due_s[entry] == at_s:
+            self.world.at_entry(entry, self.step, entry)
+
+    def step(self, entry: int) -> None:
+        """Run one step of an entry's loop."""
+        self.due_s[entry] = float("inf")
+        self.wake(entry, self.brokers[entry].step())
+
+    def receive(self, entry: int, message: NamedTuple) -> None:
+        """Hand a message to an entry."""
+        self.links[entry].handlers[type(message)](message)
+        self.wake(entry)
+
+    def arrive(self, request: Request) -> None:
+        """Ask for a slot."""
+        kind = "long" if request.long else "short"
+        request_class = self.classes[f"{kind}-{request.pool}"]
+        late_s = self.world.clock.now_s - request.at_s
+        slack_ms = request_class.finish_within_ms - round(late_s * 1000)
+        broker = self.brokers[request.entry]
+        number, future = broker.submit(request_class, max(0, slack_ms))
+        future.add_done_callback(partial(self.decided, request, number))
+        self.world.after(
+            slack_ms / 1000,
+            self.world.at_entry,
+            request.entry,
+            self.late,
+            request,
+            number,
+            future,
+        )
+        self.wake(request.entry)
+
+    def decided(self, request: Request, number: int, future) -> None:
+        """Start or refuse a request."""
+        grant = future.result()
+        self.brokers[request.entry].futures.pop(number, None)
+        if not grant.endpoint:
+            self.world.refuse(request)
+            return
+        pool = f"pool-{request.pool}"
+        self.numbers[request.number] = number, pool
+        endpoint = int(grant.endpoint.rpartition("-")[2])
+        self.world.start(request, endpoint)
+
+    def late(self, request: Request, number: int, future) -> None:
+        """Give up a request whose deadline has passed."""
+        if not future.done():
+            broker = self.brokers[request.entry]
+            broker.withdraw(number, f"pool-{request.pool}", future)
+            self.world.refuse(request)
+            self.wake(request.entry)
+
+    def finished(self, request: Request, endpoint: int) -> None:
+        """Give the slot back."""
+        number, _ = self.numbers.pop(request.number)
+        broker = self.brokers[request.entry]
+        slot = Slot(number, f"pool-{request.pool}", "")
+        broker.release(slot, round(request.run_s * 1000), True)
+        self.wake(request.entry)
--- /dev/null
+++ b/cyclamenscale/bench/policy.py
@@ -0,0 +1,260 @@
+"""``cyclamenscale bench policy``: compare ways to share a pool's slots.
+
+The modules that decide in an entry run on virtual time against generated
+arrivals. All policies get the same arrivals and run times; the result
+depends on the seed alone.
+"""
+
+from math import ceil
+from typing import NamedTuple
+
+from cyclamenscale.bench import brokers, policies
+from cyclamenscale.bench.trace import (
+    DEPLOYMENTS,
+    TURN_S,
+    Request,
+    make_trace,
+)
+from cyclamenscale.bench.world import Fault, Outcome, World, heartbeat_rate
+from cyclamenscale.errors import NotFoundError
+from cyclamenscale.scheduling import find_policy
+from cyclamenscale.slots import choose_scheduler
+
+YARDSTICK = "central"
+SUBJECT = "pool_scheduler"
+ORDER = (
+    YARDSTICK,
+    SUBJECT,
+    "slot_shares",
+    "shared_occupancy",
+    "least_loaded",
+    "two_choices",
+    "round_robin",
+)
+FAULT_ORDER = (SUBJECT, "slot_shares", "shared_occupancy", "two_choices")
+#: Run times are learned in the first cycle of turns, which is not measured.
+WARM_UP_TURNS = 5
+#: Virtual time after the last arrival in which waiting work may start.
+DRAIN_S = 400.0
+
+
+class Result(NamedTuple):
+    """Figures of one policy in one run.
+
+    Waits are from arrival to start, in milliseconds; a refused request
+    counts with its class's whole target.
+    """
+
+    name: str
+    short_p50: float
+    short_p99: float
+    short_p999: float
+    long_p50: float
+    long_p99: float
+    missed: int
+    refused: int
+    lost: int
+    requests: int
+    sent_mean: float
+    sent_max: float
+    ratio: float
+    waits: list[float]
+    timeline: list[float]
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """Return a quantile of sorted values (nearest rank)."""
+    if not ordered:
+        return 0.0
+    return ordered[max(0, ceil(share * len(ordered)) - 1)]
+
+
+def wait_ms(request: Request, outcome: Outcome, target_s: float) -> float:
+    """Return the wait of a request."""
+    if outcome.start_s is None:
+        return target_s * 1000
+    return max(0.0, outcome.start_s - request.at_s) * 1000
+
+
+def play(
+    name: str,
+    deployment,
+    trace: list[Request],
+    seed: int,
+    seconds: float,
+    fault: Fault | None = None,
+) -> Result:
+    """Run one policy.
+
+    :param name: registered name.
+    :param deployment: sizes.
+    :param trace: the arrivals.
+    :param seed: of the policy's random choices.
+    :param seconds: length of the trace.
+    :param fault: a fault; requests of the entry it hits are left out of
+        the waits, as no policy can help them.
+    """
+    world = World(deployment, trace, seed, fault)
+    start_s = WARM_UP_TURNS * TURN_S
+    if seconds <= start_s:
+        start_s = 0.0
+    world.run(find_policy(name)(world), seconds)
+    sent = [
+        size / seconds + heartbeat_rate(deployment, world.settings)
+        for size in world.sent_bytes
+    ]
+    if name == YARDSTICK:
+        sent = [0.0] * deployment.entries
+    world.play(seconds + DRAIN_S)
+    short: list[float] = []
+    long: list[float] = []
+    timeline = [0.0] * (int(seconds) + 1)
+    missed = refused = lost = 0
+    for request, outcome in zip(trace, world.outcomes, strict=True):
+        if request.at_s < start_s:
+            continue
+        if fault and outcome.entry == fault.entry:
+            lost += outcome.end_s is None
+            continue
+        target_s = (
+            deployment.long_target_s
+            if request.long
+            else deployment.short_target_s
+        )
+        one_ms = wait_ms(request, outcome, target_s)
+        (long if request.long else short).append(one_ms)
+        if not request.long:
+            place = int(request.at_s)
+            timeline[place] = max(timeline[place], one_ms)
+        if outcome.refused_s is not None:
+            refused += 1
+        elif outcome.end_s is None or outcome.end_s - request.at_s > target_s:
+            missed += 1
+    short.sort()
+    long.sort()
+    return Result(
+        name,
+        quantile(short, 0.5),
+        quantile(short, 0.99),
+        quantile(short, 0.999),
+        quantile(long, 0.5),
+        quantile(long, 0.99),
+        missed,
+        refused,
+        lost,
+        len(short) + len(long),
+        sum(sent) / len(sent),
+        max(sent),
+        0.0,
+        short,
+        timeline,
+    )
+
+
+def compare(
+    seed: int, deployment_name: str, seconds: float, names=ORDER
+) -> list[Result]:
+    """Run all policies on one trace; the first is the yardstick."""
+    deployment = DEPLOYMENTS[deployment_name]
+    trace = make_trace(deployment, seed, seconds)
+    results = []
+    for name in names:
+        result = play(name, deployment, trace, seed, seconds)
+        base = results[0].short_p99 if results else result.short_p99
+        ratio = result.short_p99 / base if base else 0.0
+        results.append(result._replace(ratio=ratio))
+    return results
+
+
+def compare_faults(
+    seed: int, deployment_name: str, seconds: float, names=FAULT_ORDER
+) -> dict[str, list[Result]]:
+    """Run policies with a fault of the entry that schedules a pool.
+
+    The fault begins in the middle of the pool's burst, in the second cycle.
+    """
+    deployment = DEPLOYMENTS[deployment_name]
+    trace = make_trace(deployment, seed, seconds)
+    entries = [f"entry-{i}" for i in range(deployment.entries)]
+    entry = int(choose_scheduler("pool-0", entries)[6:])
+    at_s = (deployment.pools + 0.5) * TURN_S
+    return {
+        kind: [
+            play(
+                name,
+                deployment,
+                trace,
+                seed,
+                seconds,
+                Fault(kind, entry, at_s),
+            )
+            for name in names
+        ]
+        for kind in ("pause", "death")
+    }
+
+
+def table(results: list[Result]) -> str:
+    """Return the results as text."""
+    lines = [
+        f"{'policy':<17}{'short p50':>10}{'p99':>9}{'p99.9':>9}"
+        f"{'long p50':>10}{'p99':>9}{'missed':>8}{'refused':>8}"
+        f"{'lost':>6}{'B/s':>7}{'max':>7}{'ratio':>7}"
+    ]
+    for one in results:
+        lines.append(
+            f"{one.name:<17}{one.short_p50:>10.1f}{one.short_p99:>9.1f}"
+            f"{one.short_p999:>9.1f}{one.long_p50:>10.0f}"
+            f"{one.long_p99:>9.0f}{one.missed:>8}{one.refused:>8}"
+            f"{one.lost:>6}{one.sent_mean:>7.0f}{one.sent_max:>7.0f}"
+            f"{one.ratio:>7.2f}"
+        )
+    return "\n".join(lines)
+
+
+def run(
+    seed: int = 1,
+    deployment: str = "szlifrail",
+    report: str | None = None,
+    seconds: float = 120.0,
+    faults: bool = True,
+) -> str:
+    """Run the benchmark.
+
+    :param seed: of arrivals and random choices.
+    :param deployment: ``szlifrail`` or ``kamnolom``.
+    :param report: path of an HTML page to write, or None.
+    :param seconds: virtual length of the arrivals.
+    :param faults: whether to run the faults too.
+    :returns: the tables.
+    :raises NotFoundError: if the deployment does not exist.
+    """
+    if deployment not in DEPLOYMENTS:
+        raise NotFoundError("deployment", deployment)
+    results = compare(seed, deployment, seconds)
+    parts = [
+        f"{deployment}, seed {seed}, {seconds:.0f} s; waits in ms; "
+        "control bytes a second sent per node, mean and highest node",
+        table(results),
+    ]
+    failed = {}
+    if faults:
+        failed = compare_faults(seed, deployment, seconds)
+        for kind, figures in failed.items():
+            base = results[0].short_p99
+            rows = [
+                one._replace(ratio=one.short_p99 / base if base else 0.0)
+                for one in figures
+            ]
+            failed[kind] = rows
+            parts += [f"\nscheduling entry: {kind}", table(rows)]
+    text = "\n".join(parts)
+    if report:
+        from cyclamenscale.bench.report import write_report
+
+        write_report(report, text, deployment, seed, results, failed)
+    return text
+
+
+#: Modules whose import registers the policies.
+REGISTERING = (policies, brokers)
--- /dev/null
+++ b/cyclamenscale/bench/world.py
@@ -0,0 +1,258 @@
+"""Virtual time, endpoints, network and faults of the policy benchmark."""
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import NamedTuple
+
+from cyclamenscale.bench.trace import Deployment, Request
+from cyclamenscale.messages import Heartbeat, Vouch, encode_frame
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import VirtualClock
+
+#: TCP and IP headers of one message.
+HEADER_BYTES = 40
+#: Flags and length before each frame in ZMTP 3.
+ZMTP_BYTES = 2
+#: The balancer polls the health of the entries; later arrivals avoid one
+#: that has failed.
+BALANCER_S = 1.0
+
+
+class Fault(NamedTuple):
+    """A fault of one entry.
+
+    :ivar kind: ``pause`` or ``death``.
+    :ivar entry: index of the entry.
+    :ivar at_s: when it begins.
+    :ivar for_s: how long a pause lasts.
+    """
+
+    kind: str
+    entry: int
+    at_s: float
+    for_s: float = 5.0
+
+
+class Outcome:
+    """What became of one request."""
+
+    __slots__ = ("start_s", "end_s", "refused_s", "lost", "entry")
+
+    def __init__(self, entry: int):
+        """Start undecided."""
+        self.entry = entry
+        self.start_s: float | None = None
+        self.end_s: float | None = None
+        self.refused_s: float | None = None
+        self.lost = False
+
+
+class Box:
+    """An endpoint: runs ``slots`` requests, queues the rest in order."""
+
+    __slots__ = ("running", "queue")
+
+    def __init__(self):
+        """Start idle."""
+        self.running = 0
+        self.queue: deque[Request] = deque()
+
+
+class World:
+    """One run of one policy.
+
+    :param deployment: sizes.
+    :param trace: the arrivals.
+    :param seed: of the policy's random choices.
+    :param fault: a fault, or None.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        trace: list[Request],
+        seed: int,
+        fault: Fault | None = None,
+    ):
+        """Start at time zero."""
+        self.deployment = deployment
+        self.trace = trace
+        self.fault = fault
+        self.settings = Settings()
+        self.clock = VirtualClock()
+        self.rng = Random(f"policy {seed}")
+        self.heap: list[tuple] = []
+        self.pushed = 0
+        self.boxes = [
+            [Box() for _ in range(deployment.endpoints)]
+            for _ in range(deployment.pools)
+        ]
+        self.outcomes = [Outcome(request.entry) for request in trace]
+        self.sent_bytes = [0] * deployment.entries
+        self.sent_count = [0] * deployment.entries
+        self.stalled: list[tuple] = []
+        self.policy = None
+
+    # Time.
+
+    def at(self, at_s: float, action: Callable, *args) -> None:
+        """Call something at a time."""
+        self.pushed += 1
+        heappush(self.heap, (at_s, self.pushed, action, args))
+
+    def after(self, delay_s: float, action: Callable, *args) -> None:
+        """Call something after a delay."""
+        self.at(self.clock.now_s + delay_s, action, *args)
+
+    def run(self, policy, until_s: float) -> None:
+        """Play the trace with a policy.
+
+        :param policy: gets ``arrive``, ``finished`` and ``resumed`` calls.
+        :param until_s: when to stop.
+        """
+        self.policy = policy
+        if self.trace:
+            self.at(self.trace[0].at_s, self.arrive, 0)
+        if self.fault and self.fault.kind == "pause":
+            self.at(self.fault.at_s + self.fault.for_s, self.resume)
+        self.play(until_s)
+
+    def play(self, until_s: float) -> None:
+        """Let everything happen that is due by a time."""
+        while self.heap and self.heap[0][0] <= until_s:
+            at_s, _, action, args = heappop(self.heap)
+            self.clock.now_s = at_s
+            action(*args)
+
+    # Faults.
+
+    def down(self, entry: int) -> bool:
+        """Return whether an entry is paused or dead."""
+        fault = self.fault
+        if fault is None or fault.entry != entry:
+            return False
+        now_s = self.clock.now_s
+        if now_s < fault.at_s:
+            return False
+        return fault.kind == "death" or now_s < fault.at_s + fault.for_s
+
+    def alive(self) -> list[int]:
+        """Return the entries heard from within the detection time."""
+        fault = self.fault
+        entries = list(range(self.deployment.entries))
+        if fault and self.down(fault.entry):
+            silent_s = self.clock.now_s - fault.at_s
+            if silent_s > self.settings.peers.dead_s:
+                entries.remove(fault.entry)
+        return entries
+
+    def at_entry(self, entry: int, action: Callable, *args) -> None:
+        """Do something at an entry; later if paused, never if dead."""
+        if not self.down(entry):
+            action(*args)
+        elif self.fault.kind == "pause":
+            self.stalled.append((action, args))
+
+    def resume(self) -> None:
+        """Let a paused entry do what came in the meantime, in order."""
+        stalled, self.stalled = self.stalled, []
+        for action, args in stalled:
+            action(*args)
+
+    # Requests.
+
+    def arrive(self, number: int) -> None:
+        """Hand the next request to its entry."""
+        if number + 1 < len(self.trace):
+            self.at(self.trace[number + 1].at_s, self.arrive, number + 1)
+        request = self.trace[number]
+        entry = request.entry
+        if self.down(entry):
+            seen = self.clock.now_s > self.fault.at_s + BALANCER_S
+            if seen or self.fault.kind == "death":
+                entry = (entry + 1 + number) % self.deployment.entries
+                if entry == request.entry:
+                    entry = (entry + 1) % self.deployment.entries
+                request = request._replace(entry=entry)
+                self.outcomes[number].entry = entry
+        self.at_entry(entry, self.policy.arrive, request)
+
+    def trip_s(self, entry: int, endpoint: int) -> float:
+        """Return the latency between an entry and an endpoint."""
+        centres = self.deployment.centres
+        near = entry % centres == endpoint % centres
+        return self.deployment.near_s if near else self.deployment.delay_s
+
+    def start(self, request: Request, endpoint: int, trip=True) -> None:
+        """Send a request to an endpoint of its pool."""
+        trip_s = self.trip_s(request.entry, endpoint) if trip else 0.0
+        if trip_s:
+            self.after(trip_s, self.reach, request, endpoint, trip)
+        else:
+            self.reach(request, endpoint, trip)
+
+    def reach(self, request: Request, endpoint: int, trip: bool) -> None:
+        """Run a request, or queue it if all slots are taken."""
+        box = self.boxes[request.pool][endpoint]
+        if box.running >= self.deployment.slots:
+            box.queue.append(request)
+            return
+        box.running += 1
+        self.outcomes[request.number].start_s = self.clock.now_s
+        self.after(request.run_s, self.end, request, endpoint, trip)
+
+    def end(self, request: Request, endpoint: int, trip: bool) -> None:
+        """Free the slot, tell the entry, run the next request."""
+        box = self.boxes[request.pool][endpoint]
+        box.running -= 1
+        self.outcomes[request.number].end_s = self.clock.now_s
+        if trip:
+            self.after(
+                self.trip_s(request.entry, endpoint),
+                self.at_entry,
+                request.entry,
+                self.policy.finished,
+                request,
+                endpoint,
+            )
+        else:
+            self.policy.finished(request, endpoint)
+        if box.queue and box.running < self.deployment.slots:
+            self.reach(box.queue.popleft(), endpoint, trip)
+
+    def refuse(self, request: Request) -> None:
+        """Note a refusal."""
+        self.outcomes[request.number].refused_s = self.clock.now_s
+
+    # Network.
+
+    def send(
+        self, source: int, target: int, size_bytes: int, action, *args
+    ) -> None:
+        """Deliver a message after the latency between two entries."""
+        self.sent_bytes[source] += size_bytes + ZMTP_BYTES + HEADER_BYTES
+        self.sent_count[source] += 1
+        centres = self.deployment.centres
+        near = source % centres == target % centres
+        delay_s = self.deployment.near_s if near else self.deployment.delay_s
+        self.after(delay_s, self.at_entry, target, action, *args)
+
+
+def heartbeat_rate(deployment: Deployment, settings: Settings) -> float:
+    """Return the bytes a second each node sends in heartbeats and answers.
+
+    They are the same for all policies and count in all of them.
+    """
+    beat = Heartbeat(
+        "entry-1", 1_800_000_000, "10.0.0.1:7000", "dc-1", 10**6, 10**4,
+        10**6, True,
+    )  # fmt: skip
+    vouch = Vouch("entry-1", 1_800_000_000, 10**6, 10**6, 10**4)
+    size_bytes = sum(
+        len(encode_frame(one)) + ZMTP_BYTES + HEADER_BYTES
+        for one in (beat, vouch)
+    )
+    peers = deployment.entries - 1
+    return size_bytes * peers / settings.peers.heartbeat_s
--- /dev/null
+++ b/test/test_bench_policy.py
@@ -0,0 +1,87 @@
+"""Tests of the policy benchmark."""
+
+from collections import defaultdict
+
+import pytest
+
+from cyclamenscale.bench import policy
+from cyclamenscale.bench.trace import BURST, DEPLOYMENTS, make_trace, rates
+from cyclamenscale.bench.world import Fault, World
+from cyclamenscale.errors import NotFoundError
+from cyclamenscale.scheduling import POLICIES, find_policy
+from cyclamenscale.slots import choose_scheduler
+
+SECONDS = 6.0
+ENTRIES = [f"entry-{place}" for place in range(6)]
+#: Entry that schedules the pool whose turn comes first.
+SCHEDULING = ENTRIES.index(choose_scheduler("pool-0", ENTRIES))
+
+
+def test_same_seed_gives_the_same_tables(tmp_path):
+    """Guards against results that depend on more than the seed."""
+    paths = [tmp_path / "a.html", tmp_path / "b.html"]
+    texts = [policy.run(3, "szlifrail", str(path), SECONDS) for path in paths]
+    assert texts[0] == texts[1]
+    assert paths[0].read_text() == paths[1].read_text()
+    for name in policy.ORDER:
+        assert name in texts[0]
+
+
+def test_arrivals_alternate_between_pools():
+    """Guards against a trace without the users' bursts."""
+    size = DEPLOYMENTS["szlifrail"]
+    trace = make_trace(size, 1, 40.0)
+    assert trace == make_trace(size, 1, 40.0)
+    counts = defaultdict(int)
+    for request in trace:
+        turn = int(request.at_s / 4) % size.pools
+        counts[request.pool == turn] += 1
+    # Eight seconds in turn and 32 between, for each of five pools.
+    expected = sum(rates(size)) * BURST * 8 * size.pools
+    assert counts[True] == pytest.approx(expected, rel=0.1)
+    assert counts[False] == pytest.approx(expected * 0.04, rel=0.3)
+
+
+@pytest.mark.parametrize("name", sorted(POLICIES))
+def test_no_policy_loses_a_request_or_overfills_an_endpoint(name):
+    """Guards against waits that look good because work is dropped."""
+    size = DEPLOYMENTS["szlifrail"]
+    trace = make_trace(size, 2, SECONDS)
+    world = World(size, trace, 2)
+    most = []
+    reach = world.reach
+
+    def watched(request, endpoint, trip):
+        reach(request, endpoint, trip)
+        box = world.boxes[request.pool][endpoint]
+        most.append(box.running)
+        # These two grant slots, so nothing may queue at an endpoint.
+        if name in ("central", "pool_scheduler"):
+            assert not box.queue
+
+    world.reach = watched
+    world.run(find_policy(name)(world), SECONDS + policy.DRAIN_S)
+    assert max(most) <= size.slots
+    for outcome in world.outcomes:
+        ended = (outcome.end_s is not None) + (outcome.refused_s is not None)
+        assert ended == 1
+
+
+@pytest.mark.parametrize("kind", ["pause", "death"])
+def test_requests_of_other_entries_survive_a_fault(kind):
+    """Guards against requests that hang with the entry that schedules."""
+    size = DEPLOYMENTS["szlifrail"]
+    trace = make_trace(size, 2, SECONDS)
+    for entry in (0, SCHEDULING):
+        world = World(size, trace, 2, Fault(kind, entry, 1.5))
+        made = find_policy("pool_scheduler")(world)
+        world.run(made, SECONDS + policy.DRAIN_S)
+        for outcome in world.outcomes:
+            if outcome.entry != entry:
+                assert outcome.end_s or outcome.refused_s
+
+
+def test_unknown_deployment_is_a_typed_error():
+    """Guards against a bare KeyError for a misspelt name."""
+    with pytest.raises(NotFoundError):
+        policy.run(1, "nowhere")
