--- a/cyclamenscale/bench/changes.py
+++ b/cyclamenscale/bench/changes.py
@@ -1,5 +1,6 @@
 """Measures changes of configuration: time to in force, calls on the store."""
 
+import resource
 import time
 from threading import Event
 
@@ -77,7 +78,9 @@
         deployment.start()
         deployment.configure()
         deployment.wait_usable()
+        cpu_s = time.process_time()
         rest = rate(deployment, lambda: Event().wait(REST_S))
+        cpu_share = (time.process_time() - cpu_s) / REST_S / ENTRIES
         busy = rate(deployment, lambda: make_changes(deployment, times_s))
         peer_bytes = [each.link.bytes_sent for each in deployment.entries]
         before_s = time.monotonic()
@@ -106,6 +109,13 @@
             ("under changes", f"{busy[0]:.1f}", f"{busy[1]:.1f}"),
         ],
     )
-    return f"{times}\n{calls}\npeer bytes/s at rest, highest entry: " + (
-        f"{peer_rate:.0f}"
+    memory_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    node = table(
+        ("each entry at rest", "value"),
+        [
+            ("peer bytes/s sent, highest", f"{peer_rate:.0f}"),
+            ("share of a core, with the stand-ins' part", f"{cpu_share:.4f}"),
+            ("memory of all in one process, MB", f"{memory_mb:.0f}"),
+        ],
     )
+    return f"{times}\n{calls}\n{node}"
--- a/cyclamenscale/directory.py
+++ b/cyclamenscale/directory.py
@@ -112,8 +112,10 @@
             known = by_name.get(instance.name)
             if known is None or not known.leaving:
                 by_name[instance.name] = instance
-        self.instances = by_name
         self.listed_s = self.clock()
+        if by_name == self.instances:
+            return
+        self.instances = by_name
         self.view = merge(self.config, self.instances)
 
     def list_age_s(self) -> float | None:
--- a/cyclamenscale/discovery.py
+++ b/cyclamenscale/discovery.py
@@ -84,6 +84,7 @@
         self.clock = clock
         self.polled_s = float("-inf")
         self.listing = True
+        self.merged = directory.config
         link.on(EndpointSign, self.take_sign)
 
     def run(self, stop: Event) -> None:
@@ -98,7 +99,10 @@
         if now_s - self.polled_s >= self.poll_s:
             self.polled_s = now_s
             self.poll()
-        self.directory.update_config(self.config.view)
+        # A merge takes time that grows with the fleet.
+        if self.config.view is not self.merged:
+            self.merged = self.config.view
+            self.directory.update_config(self.merged)
         self.health.update(self.directory.view.by_pool, now_s)
         for sign in self.health.take_signs():
             self.metrics.incr("discovery.signs_sent")
--- a/cyclamenscale/local.py
+++ b/cyclamenscale/local.py
@@ -179,8 +179,10 @@
 
     def stop(self) -> None:
         """Stop all entries gracefully, then the stand-ins."""
-        with ThreadPoolExecutor(max(1, len(self.entries))) as pool:
-            list(pool.map(lambda entry: entry.stop(), self.entries))
+        # One after the other: an entry leaves the member list with the
+        # acknowledgement of a majority, which must still be there.
+        for entry in self.entries:
+            entry.stop()
         for endpoint in self.endpoints.values():
             endpoint.stop()
         self.platform.stop()
