--- a/cyclamenscale/slots.py
+++ b/cyclamenscale/slots.py
@@ -53,10 +53,7 @@
 
 
 class Link(Protocol):
-    """What is used of the peer link.
-
-    ``on`` handlers may be called from another thread than ``send``.
-    """
+    """Peer link; handlers may run in another thread than ``send``."""
 
     def send(self, name: str, message: NamedTuple) -> bool:
         """Send a message to a peer."""
