--- a/cyclamenscale/standin/endpoint.py
+++ b/cyclamenscale/standin/endpoint.py
@@ -181,7 +181,7 @@
             self.command(target)
             connection.sendall(response(200, b"", {}))
             return True
-        if target == "/probe":
+        if target in ("/probe", "/health"):
             status = 503 if self.leaving else 200
             connection.sendall(response(status, b"", refusal(self.leaving)))
             return True
--- a/cyclamenscale/standin/platform.py
+++ b/cyclamenscale/standin/platform.py
@@ -1,5 +1,6 @@
 """Stand-in of the platform over HTTP."""
 
+from collections.abc import Callable
 from threading import Lock
 
 from werkzeug.wrappers import Request, Response
@@ -28,6 +29,7 @@
     :param reboot_s: how long a reboot takes.
 
     :ivar slow_s: delay of each answer, in seconds.
+    :ivar running: counts the requests that an instance runs, by its name.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.lock = Lock()
         self.memory = MemoryPlatform(clock, reboot_s, lag_s)
         self.slow_s = 0.0
+        self.running: dict[str, Callable[[], int]] = {}
         self.http = HttpServer(self.handle, address, THREADS)
 
     @property
@@ -71,15 +74,27 @@
         self.memory.down = False
         self.http.start()
 
-    def add(self, listed: PlatformInstance) -> None:
-        """Add an instance that is up."""
+    def add(
+        self,
+        listed: PlatformInstance,
+        running: Callable[[], int] | None = None,
+    ) -> None:
+        """Add an instance that is up.
+
+        :param listed: as the list shows it.
+        :param running: counts the requests it runs; a reboot counts them
+            as cut.
+        """
         with self.lock:
             self.memory.add(listed)
+            if running is not None:
+                self.running[listed.name] = running
 
     def remove(self, name: str) -> None:
         """Remove an instance."""
         with self.lock:
             del self.memory.instances[name]
+            self.running.pop(name, None)
 
     def set_leaving(self, name: str, leaving: bool) -> None:
         """List an instance as leaving, or no longer."""
@@ -113,6 +128,9 @@
         """
         if parts == ["v1", "instances"]:
             return json_response(self.memory.list_instances())
+        if len(parts) == 4 and parts[2] in self.running:
+            found = self.memory.instances[parts[2]]
+            found.in_progress = self.running[parts[2]]()
         if len(parts) == 4 and parts[3] == "status":
             return json_response(self.memory.status(parts[2]))
         if len(parts) == 4 and parts[3] == "reboot":
