Answer heartbeats with the next heartbeat; share the store's call budget

Nothing kept the entries within the deployment's budget of store calls. Change: a heartbeat carries the number of the receiver's last heartbeat, so the answer needs no message; freshness counts it as before, from the time the answered heartbeat was sent. Each entry takes an equal share of the store's calls and waits for its turn. Conclusion: half the messages at rest for at most 0.5 s more age of a confirmation, of 6 s allowed.

--- a/cyclamenscale/bench/capacity.py
+++ b/cyclamenscale/bench/capacity.py
@@ -22,7 +22,6 @@
     GrantItem,
     Heartbeat,
     SlotBatch,
-    Vouch,
     WantItem,
     decode_frame,
     encode_frame,
@@ -196,10 +195,10 @@
         "dc-12",
         10**6,
         10**6,
-        9,
+        2**47,
         True,
+        2**47,
     )
-    vouch = Vouch("entry-123", 1700000000, 2**47, 10**6, 10**6)
     want = SlotBatch(
         "entry-123",
         "pool-12",
@@ -221,7 +220,6 @@
     delta = Delta("entry-123", 10**6, 10**6, True, [change])
     frames = [
         ("heartbeat", beat),
-        ("vouch", vouch),
         ("want and done of one request", want),
         ("grant of one request", grant),
         ("delta of one change", delta),
--- a/cyclamenscale/bench/world.py
+++ b/cyclamenscale/bench/world.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from cyclamenscale.bench.trace import Deployment, Request
-from cyclamenscale.messages import Heartbeat, Vouch, encode_frame
+from cyclamenscale.messages import Heartbeat, encode_frame
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import VirtualClock
 
@@ -241,18 +241,14 @@
 
 
 def heartbeat_rate(deployment: Deployment, settings: Settings) -> float:
-    """Return the bytes a second each node sends in heartbeats and answers.
+    """Return the bytes a second each node sends in heartbeats.
 
     They are the same for all policies and count in all of them.
     """
     beat = Heartbeat(
         "entry-1", 1_800_000_000, "10.0.0.1:7000", "dc-1", 10**6, 10**4,
-        10**6, True,
+        10**6, True, 2**47,
     )  # fmt: skip
-    vouch = Vouch("entry-1", 1_800_000_000, 10**6, 10**6, 10**4)
-    size_bytes = sum(
-        len(encode_frame(one)) + ZMTP_BYTES + HEADER_BYTES
-        for one in (beat, vouch)
-    )
+    size_bytes = len(encode_frame(beat)) + ZMTP_BYTES + HEADER_BYTES
     peers = deployment.entries - 1
     return size_bytes * peers / settings.peers.heartbeat_s
--- a/cyclamenscale/entry.py
+++ b/cyclamenscale/entry.py
@@ -28,6 +28,7 @@
 from cyclamenscale.operations import Operations
 from cyclamenscale.operators import OperatorsApp
 from cyclamenscale.outliers import PoolsHealth
+from cyclamenscale.pacing import PacedStore
 from cyclamenscale.peers import PeerLink
 from cyclamenscale.platform import open_platform
 from cyclamenscale.reader import Reader
@@ -41,6 +42,9 @@
 #: How long the peer link may take to bind its address.
 BIND_S = 10.0
 
+#: How often the number of entries is taken over for the store's budget.
+PACING_S = 1.0
+
 #: An answer is overdue after this many times the class's p99 run time.
 FIRST_BYTE_FACTOR = 4.0
 FIRST_BYTE_MIN_S = 1.0
@@ -56,7 +60,7 @@
         """Build the components; nothing runs before :meth:`start`."""
         self.settings = settings
         self.metrics = Metrics(settings)
-        self.store = open_store(settings)
+        self.store = PacedStore(settings, open_store(settings), self.metrics)
         self.platform = open_platform(settings)
         self.build_configuration()
         self.build_path()
@@ -222,6 +226,7 @@
         configuration.add("peers", self.link.run)
         configuration.add("reader", self.reader.run)
         configuration.add("members", self.run_members)
+        configuration.add("pacing", self.run_pacing)
         path = Supervisor(settings, metrics, "path")
         path.add("discovery", self.discovery.run)
         path.add("slots", self.slots.run)
@@ -236,6 +241,12 @@
         self.link.ready.wait(BIND_S)
         self.members.run(stop, self.link.address)
 
+    def run_pacing(self, stop: Event) -> None:
+        """Share the budget of store calls among the members."""
+        while not stop.wait(PACING_S):
+            members = self.table.view.members.members
+            self.store.share_among(len(members))
+
     def start(self) -> None:
         """Start all components and listen."""
         self.supervisor.start()
--- a/cyclamenscale/messages.py
+++ b/cyclamenscale/messages.py
@@ -37,14 +37,21 @@
 class Heartbeat(NamedTuple):
     """State of the sender, sent to each peer at an interval.
 
+    It also answers the receiver's last heartbeat: a message of its own for
+    the answer would double the number of messages.
+
     :ivar sender: name of the sending entry.
     :ivar incarnation: its incarnation.
     :ivar address: ``host:port`` of its peer link.
     :ivar data_centre: where it runs.
     :ivar applied: configuration revision it has applied.
     :ivar members_revision: revision of its member list.
-    :ivar sequence: number of the heartbeat, echoed by :class:`Vouch`.
+    :ivar sequence: number of the heartbeat.
     :ivar admitting: whether it admits work now.
+    :ivar answers: number of the receiver's last heartbeat that came in, 0
+        for none.
+    :ivar confirms: false while the sender is recovering from a restart; the
+        answer then shows only that the link works.
     """
 
     sender: str
@@ -55,26 +62,7 @@
     members_revision: int
     sequence: int
     admitting: bool
-
-
-@message(2)
-class Vouch(NamedTuple):
-    """Answer to a heartbeat: what the sender has applied.
-
-    :ivar sender: name of the answering entry.
-    :ivar incarnation: its incarnation.
-    :ivar sequence: number of the heartbeat it answers.
-    :ivar applied: highest configuration revision it has applied.
-    :ivar members_revision: revision of its member list.
-    :ivar confirms: false while the sender is recovering from a restart; the
-        answer then shows only that the link works.
-    """
-
-    sender: str
-    incarnation: int
-    sequence: int
-    applied: int
-    members_revision: int
+    answers: int = 0
     confirms: bool = True
 
 
--- /dev/null
+++ b/cyclamenscale/pacing.py
@@ -0,0 +1,139 @@
+"""Keeps the store's calls within the deployment's budget.
+
+The platform's service takes a limited number of calls a second from the
+whole deployment. Each entry takes an equal share of it, so that no
+agreement about the calls is needed.
+"""
+
+from collections.abc import Callable
+from threading import Event
+
+from cyclamenscale.errors import StoreUnavailableError
+from cyclamenscale.limits import TokenRate
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.store import (
+    Compare,
+    Delete,
+    KeyValue,
+    Put,
+    RangeResult,
+    Store,
+    TxnResult,
+    Watch,
+)
+from cyclamenscale.util.clock import Clock, monotonic
+
+#: Entries assumed while the member list is not known.
+DEFAULT_ENTRIES = 8
+
+#: Seconds of its share that an entry may use at once.
+BURST_S = 1.0
+
+
+class PacedStore(Store):
+    """A store whose calls wait for this entry's share of the budget.
+
+    :param settings: the whole settings; ``[store]`` has the budget.
+    :param store: the store behind it.
+    :param metrics: counters ``store.paced`` and ``store.over_budget``.
+    :param clock: monotonic seconds.
+    :param pause: waits for some seconds.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        metrics: Metrics,
+        clock: Clock = monotonic,
+        pause: Callable[[float], object] | None = None,
+    ):
+        """Start with the share of one entry among eight."""
+        self.settings = settings.store
+        self.store = store
+        self.metrics = metrics
+        self.pause = pause or Event().wait
+        self.writes = self.bucket(self.settings.writes_per_s, clock)
+        self.reads = self.bucket(self.settings.reads_per_s, clock)
+
+    @staticmethod
+    def bucket(budget_per_s: float, clock: Clock) -> TokenRate:
+        """Make the bucket of one kind of call."""
+        share = budget_per_s / DEFAULT_ENTRIES
+        return TokenRate(share, max(1.0, share * BURST_S), clock)
+
+    def share_among(self, entries: int) -> None:
+        """Set the share.
+
+        :param entries: entries in the member list; 0 is ignored.
+        """
+        if not entries:
+            return
+        for bucket, budget_per_s in (
+            (self.writes, self.settings.writes_per_s),
+            (self.reads, self.settings.reads_per_s),
+        ):
+            bucket.rate_per_s = budget_per_s / entries
+            bucket.burst = max(1.0, bucket.rate_per_s * BURST_S)
+
+    def wait(self, bucket: TokenRate, operation: str) -> None:
+        """Wait for a call's turn.
+
+        :raises StoreUnavailableError: if that takes longer than a call may.
+        """
+        left_s = self.settings.call_timeout_s
+        while wait_s := bucket.take():
+            if wait_s > left_s:
+                self.metrics.incr("store.over_budget")
+                raise StoreUnavailableError(
+                    operation, "this entry's share of calls is used up"
+                )
+            self.metrics.incr("store.paced")
+            self.pause(wait_s)
+            left_s -= wait_s
+
+    def get(self, key: str) -> tuple[int, KeyValue | None]:
+        """Read one key."""
+        self.wait(self.reads, "get")
+        return self.store.get(key)
+
+    def range(
+        self, prefix: str, limit: int = 0, start: str = ""
+    ) -> RangeResult:
+        """Read all keys under a prefix."""
+        self.wait(self.reads, "range")
+        return self.store.range(prefix, limit, start)
+
+    def txn(
+        self,
+        compares: list[Compare],
+        writes: list[Put | Delete],
+    ) -> TxnResult:
+        """Make all writes if all comparisons hold, else none."""
+        self.wait(self.writes, "txn")
+        return self.store.txn(compares, writes)
+
+    def lease_grant(self, ttl_s: int) -> int:
+        """Make a lease."""
+        self.wait(self.writes, "lease_grant")
+        return self.store.lease_grant(ttl_s)
+
+    def lease_keep_alive(self, lease_id: int) -> int:
+        """Renew a lease."""
+        self.wait(self.writes, "lease_keep_alive")
+        return self.store.lease_keep_alive(lease_id)
+
+    def lease_revoke(self, lease_id: int) -> None:
+        """End a lease and delete the keys that hang on it."""
+        self.wait(self.writes, "lease_revoke")
+        self.store.lease_revoke(lease_id)
+
+    def watch(self, prefix: str, from_revision: int) -> Watch:
+        """Watch the keys under a prefix; counts as one read."""
+        self.wait(self.reads, "watch")
+        return self.store.watch(prefix, from_revision)
+
+    def counts(self) -> dict[str, int]:
+        """Return how many calls were made, by name."""
+        return self.store.counts()
--- a/cyclamenscale/peers.py
+++ b/cyclamenscale/peers.py
@@ -23,7 +23,6 @@
 from cyclamenscale.membership import Membership
 from cyclamenscale.messages import (
     Heartbeat,
-    Vouch,
     decode_frame,
     encode_frame,
 )
@@ -107,7 +106,9 @@
         self.blocked_out: frozenset[str] = frozenset()
         self.dealers: dict[str, Dealer] = {}
         self.targets: dict[str, str] = {}
-        self.vouched_s: dict[str, float] = {}
+        self.answered_s: dict[str, float] = {}
+        #: Number of the last heartbeat of each target, by address.
+        self.heard: dict[str, int] = {}
         # An answer to a heartbeat of the process before a restart must not
         # match a heartbeat of this one.
         self.sequence = secrets.randbits(48)
@@ -118,7 +119,6 @@
             settings, metrics, clock, table, freshness, self
         )
         self.on(Heartbeat, self.take_heartbeat)
-        self.on(Vouch, self.take_vouch)
 
     def on(self, kind: type, handler: Handler) -> None:
         """Register a handler, called in the link's thread.
@@ -246,11 +246,12 @@
         self.targets = self.membership.targets()
         for address in [a for a in self.dealers if a not in self.targets]:
             self.dealers.pop(address).socket.close(0)
-            self.vouched_s.pop(address, None)
+            self.answered_s.pop(address, None)
+            self.heard.pop(address, None)
         for address in self.targets:
             dealer = self.dealers.get(address)
             if dealer is not None:
-                last_s = max(dealer.made_s, self.vouched_s.get(address, 0.0))
+                last_s = max(dealer.made_s, self.answered_s.get(address, 0.0))
                 if now_s - last_s <= self.settings.peers.suspect_s:
                     continue
                 self.metrics.incr("peers.reconnects")
@@ -289,9 +290,12 @@
             view.members_revision,
             self.sequence,
             self.freshness.may_admit(),
+            confirms=not self.freshness.recovering,
         )
         self.freshness.heartbeat_sent(self.sequence)
-        self.transmit(list(self.dealers), beat)
+        for address in list(self.dealers):
+            answers = self.heard.get(address, 0)
+            self.transmit([address], beat._replace(answers=answers))
 
     def flush(self) -> None:
         """Send what waits in the outbox."""
@@ -376,30 +380,15 @@
                 )
 
     def take_heartbeat(self, beat: Heartbeat) -> None:
-        """Answer a heartbeat with what this entry has applied."""
-        if beat.address not in self.targets:
+        """Note a heartbeat, and the answer to an own one that it carries."""
+        if beat.address in self.targets:
+            self.heard[beat.address] = beat.sequence
+        else:
             # A new peer: connected to at the next heartbeat.
             self.next_beat_s = min(self.next_beat_s, self.clock())
-        confirms = not self.freshness.recovering
-        view = self.table.view
-        self.transmit(
-            [beat.address],
-            Vouch(
-                self.name,
-                self.freshness.incarnation,
-                beat.sequence,
-                view.revision,
-                view.members_revision,
-                confirms,
-            ),
-        )
+        if beat.answers:
+            self.answered_s[beat.address] = self.clock()
+            self.freshness.vouched(
+                beat.sender, beat.answers, beat.applied, beat.confirms
+            )
         self.sync.catch_up(beat.sender, beat.applied)
-
-    def take_vouch(self, vouch: Vouch) -> None:
-        """Note that a peer answered, and what it has applied."""
-        address = self.membership.address_of(vouch.sender)
-        self.vouched_s[address] = self.clock()
-        self.freshness.vouched(
-            vouch.sender, vouch.sequence, vouch.applied, vouch.confirms
-        )
-        self.sync.catch_up(vouch.sender, vouch.applied)
