Report dropped usage history of placement

Cause: the history of usage is bounded, and nothing counted what the bound dropped.

Change: a gauge for each pool with the number of dropped groups.

Measured: test_placer.py passes.

Conclusion: a bound that is too low can be seen.

--- a/cyclamenscale/placer.py
+++ b/cyclamenscale/placer.py
@@ -161,6 +161,9 @@
                 self.write(group)
         self.actions.stop_unknown(seen)
         self.actions.relieve(seen)
+        self.metrics.gauge(
+            f"placer.history_dropped.{self.pool}", self.state.history.dropped
+        )
 
     def look(self) -> Seen:
         """Read list, reports and records, in this order.
