Measure the placement of tasks

Cause: the target of 1 ms for a decision at 23,000 workers had not been measured, nor waste, urgent work and quarantine.

Change: cyclamenscale bench placement compares the observed policy with first fit by declared size, and runs a placer in virtual time.

--- /dev/null
+++ b/cyclamenscale/bench/placement.py
@@ -0,0 +1,351 @@
+"""Benchmark of placement: decision time, waste, urgent work, quarantine.
+
+Jobs are generated and time is virtual; only the decision time is measured in
+real time, and is the one part that differs between runs of one seed.
+"""
+
+from random import Random
+from time import perf_counter
+from typing import NamedTuple
+
+from cyclamenscale.bench.placement_world import (
+    POOL,
+    BenchEntry,
+    Kind,
+    make_kinds,
+    use_of,
+    worker_at,
+)
+from cyclamenscale.job_records import JobSpec
+from cyclamenscale.placement import Spread, group_of, make_policy
+from cyclamenscale.platform import Resources
+from cyclamenscale.usage_history import UsageHistory
+from cyclamenscale.util.tables import table
+from cyclamenscale.worker_index import WorkerIndex
+
+#: Letter 1: 23,000 workers in 90 pools.
+SIZES = (100, 1_000, 10_000, 23_000)
+POOLS = 90
+POLICIES = ("observed", "first_fit_declared")
+DECISIONS = 1000
+#: Workers on which the waste is measured; each task is placed there.
+WASTE_SIZE = 500
+SEEDS = 5
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile of some values, 0 for none."""
+    values = sorted(values)
+    if not values:
+        return 0.0
+    return values[min(int(share * len(values)), len(values) - 1)]
+
+
+class Placed(NamedTuple):
+    """A task of the decision benchmark.
+
+    :ivar spec: its job.
+    :ivar worker: name of its worker.
+    :ivar allocated: what was set aside.
+    :ivar used: what it uses.
+    """
+
+    spec: JobSpec
+    worker: str
+    allocated: Resources
+    used: Resources
+
+
+class Decisions:
+    """Placements on a pool that is kept nearly full.
+
+    :param policy: name of the policy.
+    :param size: number of workers.
+    :param seed: of jobs and samples.
+    """
+
+    def __init__(self, policy: str, size: int, seed: int):
+        """Make the workers and learn from some tasks of each kind."""
+        self.random = Random(f"{seed}/{size}")
+        self.kinds = make_kinds(self.random)
+        self.names = sorted(self.kinds)
+        self.index = WorkerIndex(Random(seed))
+        self.history = UsageHistory(0.9, 10_000)
+        self.spread = Spread()
+        self.policy = make_policy(
+            policy, self.index, self.history, self.spread
+        )
+        self.tasks: list[Placed] = []
+        self.times_s: list[float] = []
+        self.number = 0
+        for each in map(worker_at, range(size)):
+            self.index.put(
+                each.name,
+                each.data_centre,
+                each.rack,
+                each.capacity,
+                each.capacity,
+                True,
+            )
+        for name, kind in self.kinds.items():
+            team, _, label = name.partition("/")
+            for _ in range(20):
+                used = use_of(kind, self.random)
+                self.history.add(team, label, kind.declared, used)
+
+    def job(self) -> tuple[JobSpec, Kind]:
+        """Return the next generated job."""
+        self.number += 1
+        name = self.random.choice(self.names)
+        team, _, label = name.partition("/")
+        kind = self.kinds[name]
+        spec = JobSpec(f"j{self.number}", POOL, team, label, kind.declared)
+        return spec, kind
+
+    def place(self, timed: bool) -> bool:
+        """Place one job.
+
+        :returns: whether a worker was found.
+        """
+        spec, kind = self.job()
+        used = use_of(kind, self.random)
+        start_s = perf_counter()
+        found = self.policy.place(spec)
+        if timed:
+            self.times_s.append(perf_counter() - start_s)
+        if found is None:
+            return False
+        self.index.take(found.worker, found.allocated)
+        worker = self.index.workers[found.worker]
+        self.spread.add(group_of(spec), worker)
+        self.tasks.append(Placed(spec, found.worker, found.allocated, used))
+        return True
+
+    def end_one(self) -> None:
+        """End a random task."""
+        position = self.random.randrange(len(self.tasks))
+        self.tasks[position], self.tasks[-1] = (
+            self.tasks[-1],
+            self.tasks[position],
+        )
+        spec, worker, allocated, _ = self.tasks.pop()
+        self.index.give_back(worker, allocated)
+        self.spread.add(group_of(spec), self.index.workers[worker], -1)
+
+    def crowd(self) -> None:
+        """Leave each worker up to three tenths of what it has."""
+        for worker in self.index.workers.values():
+            share = self.random.random() * 0.3
+            free = Resources(
+                worker.capacity.processors * share,
+                worker.capacity.memory_gb * share,
+                int(worker.capacity.accelerators * share * 3),
+            )
+            self.index.change(worker, free)
+
+    def decide(self) -> None:
+        """Place tasks, end one for each, and measure."""
+        for _ in range(DECISIONS):
+            if len(self.tasks) > DECISIONS // 10:
+                self.end_one()
+            self.place(True)
+
+    def fill(self) -> None:
+        """Place tasks until five in a hundred find no room."""
+        failed = tries = 0
+        while failed < 5:
+            failed += not self.place(False)
+            tries += 1
+            if tries % 100 == 0:
+                failed = 0
+
+    def waste(self) -> tuple[float, float, float]:
+        """Return shares of the pool's processors and of its workers.
+
+        :returns: used processors of all, processors that are set aside and
+            not used of all, and workers that use more than they have.
+        """
+        total = allocated = used = 0.0
+        loads: dict[str, Resources] = {}
+        for task in self.tasks:
+            allocated += task.allocated.processors
+            used += task.used.processors
+            before = loads.get(task.worker, Resources())
+            loads[task.worker] = before.plus(task.used)
+        for worker in self.index.workers.values():
+            total += worker.capacity.processors
+        over = sum(
+            not load.fits(self.index.workers[name].capacity)
+            for name, load in loads.items()
+        )
+        idle = max(0.0, allocated - used)
+        return used / total, idle / total, over / len(self.index.workers)
+
+
+class Times(NamedTuple):
+    """Virtual times of one run of the placer, in seconds.
+
+    :ivar urgent_s: from the submission of each urgent job to its start.
+    :ivar quarantine_s: from the first failure of each bad worker to its
+        quarantine.
+    :ivar bad: bad workers that were given a task.
+    :ivar wrong: good workers that were quarantined.
+    """
+
+    urgent_s: list[float]
+    quarantine_s: list[float]
+    bad: int
+    wrong: int
+
+
+def run_placer(size: int, seed: int, seconds: int = 90) -> Times:
+    """Run a pool with a backlog, urgent jobs and bad workers.
+
+    :param size: number of workers.
+    :param seed: of jobs and samples.
+    :param seconds: virtual time to run.
+    """
+    entry = BenchEntry(size, seed)
+    bad = [f"w{number:05}" for number in range(0, size, 50)]
+    submitted_s: dict[str, float] = {}
+    for number in range(size * 2):
+        entry.submit(f"b{number}", urgency=2)
+    for second in range(seconds):
+        if second == 20:
+            for name in bad:
+                entry.workers.failing[name] = entry.clock()
+        if second >= 10 and second % 2 == 0:
+            for number in range(3):
+                job = f"u{second}-{number}"
+                # Urgent jobs arrive at any time between two ticks.
+                after_s = entry.random.random() * 0.999
+                submitted_s[job] = entry.clock() + after_s
+                entry.submit(
+                    job, urgency=0, declared=Resources(1, 2), team="urgent"
+                )
+        for number in range(size // 20):
+            entry.submit(f"b{second}-{number}", urgency=2)
+        entry.tick()
+    first_s: dict[str, float] = {}
+    urgent_s = {}
+    for at_s, task, worker in entry.workers.started:
+        job = task.split("/")[1]
+        if job in submitted_s:
+            urgent_s.setdefault(job, at_s - submitted_s[job])
+        if worker in entry.workers.failing:
+            since_s = entry.workers.failing[worker]
+            if at_s >= since_s:
+                first_s.setdefault(worker, at_s + 1.0)
+    never = float(seconds)
+    found_s = [
+        entry.quarantined_s.get(name, never) - first_s.get(name, 0.0)
+        for name in bad
+        if name in first_s and name in entry.quarantined_s
+    ]
+    wrong = len(set(entry.quarantined_s) - set(bad))
+    waits_s = [urgent_s.get(job, never) for job in submitted_s]
+    return Times(waits_s, found_s, len(first_s), wrong)
+
+
+def decision_rows(seeds: list[int], sizes: tuple[int, ...]) -> list[list]:
+    """Measure the decision time of all policies, in ms."""
+    rows = []
+    for size in sizes:
+        for policy in POLICIES:
+            times_s: list[float] = []
+            for seed in seeds:
+                one = Decisions(policy, size, seed)
+                one.crowd()
+                one.decide()
+                times_s += one.times_s
+            p50_s, p99_s = quantile(times_s, 0.5), quantile(times_s, 0.99)
+            rows.append(
+                [size, policy, round(p50_s * 1000, 3), round(p99_s * 1000, 3)]
+            )
+    return rows
+
+
+def waste_rows(seeds: list[int], size: int) -> list[list]:
+    """Measure what wrong declared sizes waste, in percent."""
+    rows = []
+    for policy in POLICIES:
+        for seed in seeds:
+            one = Decisions(policy, size, seed)
+            one.fill()
+            rows.append(
+                [
+                    policy,
+                    seed,
+                    len(one.tasks),
+                    *(round(share * 100, 1) for share in one.waste()),
+                ]
+            )
+    return rows
+
+
+def run(
+    seed: int = 1,
+    sizes: tuple[int, ...] = SIZES,
+    seeds: int = SEEDS,
+    pool_size: int = 23_000 // POOLS,
+    waste_size: int = WASTE_SIZE,
+) -> str:
+    """Run the benchmark.
+
+    :param seed: first seed; the others follow it.
+    :param sizes: numbers of workers for the decision time.
+    :param seeds: number of seeds.
+    :param pool_size: workers of the pool that the placer runs.
+    :param waste_size: workers on which the waste is measured.
+    :returns: the tables.
+    """
+    numbers = list(range(seed, seed + seeds))
+    parts = [
+        f"decision time, seeds {numbers[0]} to {numbers[-1]}, {DECISIONS} "
+        "decisions each on crowded workers, ms of real time",
+        table(
+            ["workers", "policy", "p50", "p99"], decision_rows(numbers, sizes)
+        ),
+        f"\nwaste on {waste_size} workers that were filled, percent of all "
+        "processors, and of workers that use more than they have",
+        table(
+            ["policy", "seed", "tasks", "used", "set aside, unused", "over"],
+            waste_rows(numbers, waste_size),
+        ),
+    ]
+    rows = []
+    for number in numbers:
+        found = run_placer(pool_size, number)
+        rows.append(
+            [
+                number,
+                round(quantile(found.urgent_s, 0.5), 2),
+                round(quantile(found.urgent_s, 0.99), 2),
+                round(max(found.urgent_s), 2),
+                found.bad,
+                len(found.quarantine_s),
+                round(quantile(found.quarantine_s, 0.5), 2),
+                round(max(found.quarantine_s, default=0.0), 2),
+                found.wrong,
+            ]
+        )
+    parts += [
+        f"\nplacer of a pool of {pool_size} workers, virtual seconds: urgent "
+        "work from submission to start, bad workers from their first "
+        "failure to quarantine",
+        table(
+            [
+                "seed",
+                "urgent p50",
+                "p99",
+                "max",
+                "bad workers",
+                "quarantined",
+                "after p50",
+                "max",
+                "good ones quarantined",
+            ],
+            rows,
+        ),
+    ]
+    return "\n".join(parts)
--- /dev/null
+++ b/cyclamenscale/bench/placement_world.py
@@ -0,0 +1,161 @@
+"""Generated workers and jobs, and a placer in virtual time."""
+
+from random import Random
+from typing import NamedTuple
+
+from cyclamenscale.budget import CONTROL_PREFIX
+from cyclamenscale.job_records import JobSpec
+from cyclamenscale.jobs import JobBook
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import INSTANCE_PREFIX, ConfigView, InstanceRecord
+from cyclamenscale.placer import PoolPlacer
+from cyclamenscale.platform import PlatformWorker, Resources, TaskOrder
+from cyclamenscale.settings import Settings
+from cyclamenscale.standin.memory import MemoryStore
+from cyclamenscale.standin.state import StoreState
+from cyclamenscale.standin.workers import MemoryWorkers, Truth
+from cyclamenscale.store import Put
+from cyclamenscale.util.clock import VirtualClock
+from cyclamenscale.util.codec import encode_record
+
+#: Letter 1: 40,000 accelerators on 23,000 workers, 43 data centres, 450
+#: teams.
+DATA_CENTRES = 43
+TEAMS = 450
+POOL = "north"
+#: Age of the platform's list and reports.
+LAG_S = 2.0
+
+
+def worker_at(number: int) -> PlatformWorker:
+    """Return a generated worker: Szlifrail's or, one in two, Kamnolom's."""
+    capacity = Resources(64.0, 256.0, 0)
+    if number % 2:
+        # Every second worker has 3 or 4 accelerators: 40,000 on 23,000.
+        capacity = Resources(32.0, 64.0, 3 + number % 4 // 2)
+    return PlatformWorker(
+        f"w{number:05}",
+        f"d{number // 4 % DATA_CENTRES}",
+        f"r{number // 4}",
+        capacity,
+    )
+
+
+class Kind(NamedTuple):
+    """Jobs of one team and kind.
+
+    :ivar declared: what the team declares.
+    :ivar factor: used over declared, on average.
+    """
+
+    declared: Resources
+    factor: float
+
+
+def make_kinds(random: Random) -> dict[str, Kind]:
+    """Return the kinds of jobs by ``TEAM/KIND``.
+
+    Teams declare from a fifth to five times of what their jobs use, more
+    often too much.
+    """
+    kinds = {}
+    for team in range(TEAMS):
+        for kind in range(2):
+            declared = Resources(
+                random.choice((1.0, 2.0, 4.0, 8.0, 16.0)),
+                random.choice((2.0, 4.0, 8.0, 16.0, 32.0)),
+                random.choice((0, 0, 0, 0, 1)),
+            )
+            factor = min(5.0, max(0.2, random.lognormvariate(-0.7, 0.6)))
+            kinds[f"t{team}/k{kind}"] = Kind(declared, factor)
+    return kinds
+
+
+def use_of(kind: Kind, random: Random) -> Resources:
+    """Return what one task of a kind uses."""
+    factor = kind.factor * random.lognormvariate(0.0, 0.15)
+    declared = kind.declared
+    return Resources(
+        min(declared.processors * factor, 32.0),
+        min(declared.memory_gb * factor, 64.0),
+        declared.accelerators,
+    )
+
+
+class BenchEntry:
+    """The entry of a placer in virtual time, which holds the control.
+
+    :param size: number of workers.
+    :param seed: of jobs and samples.
+    """
+
+    def __init__(self, size: int, seed: int):
+        """Make the pool in store and platform."""
+        self.random = Random(f"{seed}/entry")
+        self.clock = VirtualClock(1000.0)
+        self.settings = Settings()
+        state = StoreState(clock=self.clock)
+        self.store = MemoryStore(state, self.settings)
+        self.metrics = Metrics(self.settings)
+        self.kinds = make_kinds(self.random)
+        self.workers = MemoryWorkers(self.clock, self.truth, LAG_S)
+        self.run_s = 60.0
+        self.quarantined_s: dict[str, float] = {}
+        members = {}
+        self.revisions = {}
+        for each in map(worker_at, range(size)):
+            self.workers.add(each)
+            members[each.name] = InstanceRecord(each.name, POOL)
+            key = INSTANCE_PREFIX + each.name
+            put = Put(key, encode_record(members[each.name]))
+            self.revisions[key] = self.store.txn([], [put]).revision
+        self.shown = ConfigView(instances=members)
+        put = Put(CONTROL_PREFIX + POOL, b"[]")
+        self.fence = self.store.txn([], [put]).revision
+        self.clock.advance(10.0)
+        self.book = JobBook(self.store, self.metrics, self.clock)
+        self.placer = PoolPlacer(
+            self.settings,
+            self.store,
+            self.workers,
+            self,
+            self.metrics,
+            self.clock,
+            Random(seed),
+        )
+
+    def truth(self, order: TaskOrder) -> Truth:
+        """Return what a task does."""
+        used = use_of(self.kinds[order.kind], self.random)
+        run_s = self.run_s * self.random.lognormvariate(0.0, 0.5)
+        return Truth(used, run_s)
+
+    def submit(self, job: str, **parts) -> None:
+        """Submit a generated job."""
+        name = self.random.choice(sorted(self.kinds))
+        team = name.partition("/")[0]
+        declared = self.kinds[name].declared
+        spec = JobSpec(job, POOL, team, name, declared)
+        self.book.submit(spec._replace(**parts))
+
+    def tick(self) -> None:
+        """Let an interval of the controllers pass."""
+        self.clock.advance(self.settings.fleet.tick_s)
+        self.placer.tick(POOL, self.fence)
+
+    def view(self) -> ConfigView:
+        """Return the configuration."""
+        return self.shown
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a configuration key."""
+        return self.revisions.get(key, 0)
+
+    def may_admit(self) -> bool:
+        """Return that the configuration is fresh."""
+        return True
+
+    def decided(self, what: str, subject: str, why: str, inputs: dict) -> None:
+        """Note when a worker was quarantined."""
+        if what == "worker_quarantined":
+            self.quarantined_s[subject] = self.clock()
--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -77,6 +77,16 @@
         found = run(seed=seed, deployment=deployment, report=report or None)
         return finish(found)
 
+    @command
+    def placement(self, *, seed: int = 1) -> int | None:
+        """Measure the placement of tasks on workers.
+
+        :param seed: first seed of the jobs.
+        """
+        from cyclamenscale.bench.placement import run
+
+        return finish(run(seed=seed))
+
     @command
     def path(self) -> int | None:
         """Measure the request path."""
