Size pools by the learned envelope of their demand

Cause: nothing decided how many instances a pool should have. Policies envelope and fixed_buffer; new keys moves, envelope_s, payback_s and buffer_instances in [fleet].

--- /dev/null
+++ b/cyclamenscale/bench/fleet_demand.py
@@ -0,0 +1,228 @@
+"""Buffer cost and moves: pools whose demand bursts and changes by the day.
+
+The pools' queues are fluid: work in slot-seconds, served second by second,
+short work first. The decisions are those of :mod:`cyclamenscale.moves`.
+"""
+
+from math import pi, sin
+from random import Random
+from typing import NamedTuple
+
+from cyclamenscale.bench.trace import (
+    BETWEEN,
+    BURST,
+    DEPLOYMENTS,
+    MEAN_LOAD,
+    SHORT_SHARE,
+    TURN_S,
+)
+from cyclamenscale.budget import MoveNote, allowed_out
+from cyclamenscale.model import RequestClass
+from cyclamenscale.moves import (
+    Envelope,
+    PoolState,
+    patience_s,
+    pick_moves,
+    recent,
+    wanted_instances,
+)
+from cyclamenscale.settings import FleetSettings
+
+DAY_S = 86400
+#: Before the measured day: the envelopes fill and the pools settle.
+WARM_UP_S = 3 * 3600
+#: Daily change around the mean; the pools' peaks are spread over the day.
+DAILY = 0.6
+#: Spread of a second's demand around its expectation.
+NOISE = 0.2
+#: A move takes its drain (a straggler at worst) and its reboot.
+MOVE_S = 150.0
+#: Seconds between decisions on moves; wants change far more slowly.
+DECIDE_S = 10
+#: Target of the classes: share of a pool that may be out of service.
+OUT_SHARE = 0.25
+
+
+class BufferResult(NamedTuple):
+    """Figures of one policy.
+
+    :ivar policy: its name, with the buffer of fixed_buffer.
+    :ivar cost: spare slot-seconds over used ones.
+    :ivar missed: work that missed its target, as a share.
+    :ivar moves_per_hour: moves an hour, all pools.
+    :ivar pool_moves: most moves of one pool within an hour.
+    """
+
+    policy: str
+    cost: float
+    missed: float
+    moves_per_hour: float
+    pool_moves: int
+
+
+class FluidPool:
+    """One pool's queues and instances."""
+
+    def __init__(self, number: int, deployment, settings: FleetSettings):
+        """Start with the instances of the deployment."""
+        self.name = f"pool-{number}"
+        self.number = number
+        self.deployment = deployment
+        self.size = deployment.endpoints
+        self.arriving: list[float] = []
+        self.moves: tuple[MoveNote, ...] = ()
+        self.learned = Envelope(settings)
+        targets = (deployment.short_target_s, deployment.long_target_s)
+        self.targets_s = targets
+        self.classes = tuple(
+            RequestClass(
+                f"{self.name}-{t}", self.name, int(t * 1000), OUT_SHARE
+            )
+            for t in targets
+        )
+        self.patience_s = patience_s(self.classes)
+        # For each class: work by the second it arrived, oldest first.
+        self.queues: tuple[list, list] = ([], [])
+        self.waiting = [0.0, 0.0]
+
+    def arrivals(self, second: int, rng: Random) -> float:
+        """Return the slot-seconds of work that arrive in a second."""
+        of = self.deployment
+        mean = MEAN_LOAD * of.endpoints * of.slots
+        phase = second / DAY_S + self.number / of.pools
+        mean *= 1 + DAILY * sin(2 * pi * phase)
+        turn = int(second // TURN_S) % of.pools
+        factor = BURST if turn == self.number else BETWEEN
+        return mean * factor * max(0.0, rng.gauss(1.0, NOISE))
+
+    def serve(self, second: int, offered: float) -> tuple[float, float]:
+        """Serve one second.
+
+        :returns: slot-seconds served, and those that were late.
+        """
+        free = capacity = float(self.size * self.deployment.slots)
+        late = 0.0
+        parts = (offered * SHORT_SHARE, offered * (1 - SHORT_SHARE))
+        for which, part in enumerate(parts):
+            queue = self.queues[which]
+            queue.append([second, part])
+            self.waiting[which] += part
+            while queue and free > 0:
+                arrived, work = queue[0]
+                done = min(work, free)
+                free -= done
+                self.waiting[which] -= done
+                if second - arrived > self.targets_s[which]:
+                    late += done
+                if done < work:
+                    queue[0][1] = work - done
+                    break
+                queue.pop(0)
+        return capacity - free, late
+
+    def demand(self, used: float) -> float:
+        """Return slots in use and those that clear the waiting work."""
+        return used + sum(
+            work / target
+            for work, target in zip(self.waiting, self.targets_s, strict=True)
+        )
+
+    def state(self, settings: FleetSettings, now_s: float) -> PoolState:
+        """Return what a decision on moves knows of the pool."""
+        wanted = wanted_instances(
+            self.learned,
+            self.classes,
+            self.deployment.slots,
+            settings,
+        )
+        size = self.size + len(self.arriving)
+        self.moves = recent(self.moves, now_s, settings)
+        return PoolState(
+            self.name,
+            self.number == self.deployment.pools - 1,
+            size,
+            wanted,
+            self.moves,
+            allowed_out(size, self.classes),
+        )
+
+
+def run_buffer(
+    seed: int, deployment: str, settings: FleetSettings
+) -> BufferResult:
+    """Run one policy for a day.
+
+    The spare pool's instances beyond its own want are no buffer: they are
+    free for another use.
+    """
+    of = DEPLOYMENTS[deployment]
+    rng = Random(f"demand {seed}")
+    pools = [FluidPool(n, of, settings) for n in range(of.pools)]
+    by_name = {each.name: each for each in pools}
+    used = spare = late = 0.0
+    moves = []
+    wanted: dict[str, int | None] = {}
+    for second in range(WARM_UP_S + DAY_S):
+        measured = second >= WARM_UP_S
+        for pool in pools:
+            while pool.arriving and pool.arriving[0] <= second:
+                pool.arriving.pop(0)
+                pool.size += 1
+            served, missed = pool.serve(second, pool.arrivals(second, rng))
+            demand = pool.demand(served)
+            pool.learned.record(demand, second, pool.patience_s)
+            if measured:
+                held = pool.size + len(pool.arriving)
+                lendable = pool.number == of.pools - 1
+                if lendable and wanted.get(pool.name) is not None:
+                    held = min(held, wanted[pool.name])
+                used += served
+                spare += max(0.0, held * of.slots - served)
+                late += missed
+        if second % DECIDE_S:
+            continue
+        states = [each.state(settings, second) for each in pools]
+        wanted = {each.name: each.wanted for each in states}
+        for move in pick_moves(states, second, settings, rng):
+            donor, receiver = by_name[move.donor], by_name[move.receiver]
+            donor.size -= 1
+            receiver.arriving.append(second + MOVE_S)
+            note = MoveNote(second, receiver.name, False)
+            donor.moves = (*donor.moves, note)
+            note = MoveNote(second, donor.name, True)
+            receiver.moves = (*receiver.moves, note)
+            if measured:
+                moves.append((second, move))
+    most = max(
+        (
+            sum(
+                0 <= second - start < 3600 and pool.name in each
+                for second, each in moves
+            )
+            for pool in pools
+            for start, other in moves
+            if pool.name in other
+        ),
+        default=0,
+    )
+    name = settings.moves
+    if name == "fixed_buffer":
+        name += f" {settings.buffer_instances}"
+    return BufferResult(
+        name, spare / used, late / used, len(moves) / (DAY_S / 3600), most
+    )
+
+
+def compare_buffers(
+    seed: int, deployment: str, settings: FleetSettings
+) -> list[BufferResult]:
+    """Run the envelope, and fixed buffers until one misses no more."""
+    found = [run_buffer(seed, deployment, settings)]
+    for buffer in range(1, 3 * DEPLOYMENTS[deployment].endpoints):
+        fixed = settings._replace(
+            moves="fixed_buffer", buffer_instances=buffer
+        )
+        found.append(run_buffer(seed, deployment, fixed))
+        if found[-1].missed <= found[0].missed:
+            break
+    return found
--- a/cyclamenscale/budget.py
+++ b/cyclamenscale/budget.py
@@ -44,17 +44,35 @@
     joining: bool = False
 
 
+class MoveNote(NamedTuple):
+    """A move of an instance to or from a pool.
+
+    :ivar started_s: when it was started or, for the receiver, taken over;
+        seconds since the epoch.
+    :ivar other: the other pool.
+    :ivar incoming: whether the pool received the instance.
+    """
+
+    started_s: float
+    other: str
+    incoming: bool
+
+
 class BudgetRecord(NamedTuple):
     """The planned outages of one pool; changed by compare-and-swap.
 
     :ivar outages: outages in progress.
     :ivar halted_version: version whose roll-out is halted, or empty.
     :ivar halted_reason: why it was halted.
+    :ivar wanted: instances that the pool wants, None if not known.
+    :ivar moves: moves within the last hour or the payback time.
     """
 
     outages: tuple[Outage, ...] = ()
     halted_version: str = ""
     halted_reason: str = ""
+    wanted: int | None = None
+    moves: tuple[MoveNote, ...] = ()
 
     def with_outage(self, outage: Outage) -> "BudgetRecord":
         """Return the record with an outage added or replaced."""
--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -289,6 +289,27 @@
     moves_per_hour: Annotated[
         int, Range(0, 10000), "instance moves an hour, for each pool"
     ] = 6
+    moves: Annotated[
+        str,
+        Choices("envelope", "fixed_buffer"),
+        "policy that tells how many instances a pool wants",
+    ] = "envelope"
+    envelope_s: Annotated[
+        float,
+        Range(60, 2592000),
+        "window over which the envelope of a pool's demand is learned",
+    ] = 7200.0
+    payback_s: Annotated[
+        float,
+        Range(0, 2592000),
+        "time within which a move is not reversed; a move costs a drain and "
+        "a reboot",
+    ] = 1800.0
+    buffer_instances: Annotated[
+        int,
+        Range(0, 10000),
+        "instances above the mean demand that fixed_buffer keeps",
+    ] = 4
 
 
 class PlacementSettings(NamedTuple):
