Move instances between pools

Cause: the controllers carried out roll-outs only; instances stayed where operators had put them. Change: a pool's controller records the demand its scheduler sees and writes the instances it wants to budget/POOL. A donor starts one move at a time in a transaction that compares both budget records, both pools, the donor's classes and control and the instance, and notes the move at both pools, so that rate and payback hold when donors decide at once. After the drain one transaction changes the instance's pool and hands the outage over; the receiver goes on from its record. Control of a pool goes to the entry that schedules its slots, which alone knows the demand. Candidates of a roll-out without long work go first, as the scheduler reports it. Records as read and the Surroundings protocol are in outages.py, moves in moving.py.

--- a/cyclamenscale/audit.py
+++ b/cyclamenscale/audit.py
@@ -109,6 +109,13 @@
     return f"instance {decision.subject} returned to service"
 
 
+@decision_kind("instance_moved", "instance")
+def instance_moved(decision: Decision) -> str:
+    """Word the change of an instance's pool."""
+    target = decision.inputs.get("target", "")
+    return f"instance {decision.subject} joins pool {target}"
+
+
 @decision_kind("rollout_halted", "pool")
 def rollout_halted(decision: Decision) -> str:
     """Word the halt of a roll-out."""
--- a/cyclamenscale/control.py
+++ b/cyclamenscale/control.py
@@ -29,12 +29,12 @@
 def preferred_holder(pool: str, alive: Iterable[str]) -> str:
     """Return the entry that should control a pool (rendezvous hashing).
 
-    :param pool: name of the pool.
-    :param alive: names of the entries that are heard.
+    It is the entry that schedules the pool's slots, because only that one
+    knows the demand that moves of instances follow.
     """
     return max(
-        sorted(alive),
-        key=lambda name: xxh64_intdigest(f"{pool}/{name}".encode()),
+        alive,
+        key=lambda name: (xxh64_intdigest(f"{pool}\0{name}".encode()), name),
     )
 
 
--- a/cyclamenscale/controller.py
+++ b/cyclamenscale/controller.py
@@ -4,15 +4,13 @@
 records; a controller can stop after any call and another one goes on.
 """
 
-from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+from random import Random
 
 from cyclamenscale.budget import (
-    BUDGET_PREFIX,
-    CONTROL_PREFIX,
     EXCLUDING,
     PROBING,
     REBOOTING,
+    WAITING,
     BudgetRecord,
     BudgetUse,
     Outage,
@@ -39,6 +37,8 @@
     ConfigView,
     InstanceRecord,
 )
+from cyclamenscale.moving import Mover
+from cyclamenscale.outages import LoadedBudget, Surroundings, load_budget
 from cyclamenscale.platform import Platform, PlatformInstance
 from cyclamenscale.rollout import ROLLOUT_POLICIES, Candidate, candidates
 from cyclamenscale.settings import Settings
@@ -54,67 +54,6 @@
 STARTS_LIMIT = 32
 
 
-class Surroundings(Protocol):
-    """What a controller asks of the rest of its entry."""
-
-    def view(self) -> ConfigView:
-        """Return the applied configuration."""
-
-    def revision_of(self, key: str) -> int:
-        """Return the applied revision of a configuration key."""
-
-    def may_admit(self) -> bool:
-        """Return whether the applied configuration is fresh."""
-
-    def announce(self, revision: int) -> None:
-        """Tell the other entries of a revision that was written."""
-
-    def in_force(self, revision: int) -> bool:
-        """Return whether a revision is in force at every entry."""
-
-    def in_progress(self, instance: str) -> int | None:
-        """Return the requests in progress at an instance, at all entries.
-
-        :returns: None while an entry has not answered.
-        """
-
-    def unavailable(self, pool: str) -> Iterable[str]:
-        """Return instances of a pool that failed or cannot be reached."""
-
-    def probe(self, instance: PlatformInstance) -> bool:
-        """Return whether an instance answers its health probe."""
-
-    def decided(self, what: str, subject: str, why: str, inputs: dict) -> None:
-        """Add a decision to the audit trail."""
-
-
-class LoadedBudget(NamedTuple):
-    """A pool's budget record as read.
-
-    :ivar pool: name of the pool.
-    :ivar fence: fencing token under which it was read.
-    :ivar revision: its ``mod_revision``, 0 if it does not exist.
-    :ivar record: its content.
-    """
-
-    pool: str
-    fence: int
-    revision: int
-    record: BudgetRecord
-
-    @property
-    def compares(self) -> list[Compare]:
-        """Return the comparisons that each write has to carry."""
-        return [
-            Compare(CONTROL_PREFIX + self.pool, self.fence),
-            Compare(BUDGET_PREFIX + self.pool, self.revision),
-        ]
-
-    def put(self, record: BudgetRecord) -> Put:
-        """Return the write of a new record."""
-        return Put(BUDGET_PREFIX + self.pool, encode_record(record))
-
-
 class PoolController:
     """Advances and starts the planned outages of a pool.
 
@@ -145,6 +84,9 @@
         self.metrics = metrics
         self.wall_clock = wall_clock
         self.policy = ROLLOUT_POLICIES[self.settings.rollout]
+        self.mover = Mover(
+            settings, store, surroundings, metrics, wall_clock, Random()
+        )
 
     def tick(self, pool: str, fence: int) -> None:
         """Do what can be done now for one pool.
@@ -160,6 +102,10 @@
             for outage in loaded.record.outages:
                 if self.advance(loaded, outage, listed):
                     loaded = self.load(pool, fence)
+            if self.mover.learn(loaded, listed):
+                loaded = self.load(pool, fence)
+            if self.start_move(loaded, listed):
+                loaded = self.load(pool, fence)
             self.start_outages(loaded, listed)
         except StoreError:
             self.metrics.incr("controller.store_errors")
@@ -170,12 +116,7 @@
 
     def load(self, pool: str, fence: int) -> LoadedBudget:
         """Read a pool's budget record."""
-        key = BUDGET_PREFIX + pool
-        _, found = self.store.get(key)
-        if found is None:
-            return LoadedBudget(pool, fence, 0, BudgetRecord())
-        record = decode_record(found.value, BudgetRecord, key)
-        return LoadedBudget(pool, fence, found.mod_revision, record)
+        return load_budget(self.store, pool, fence)
 
     def advance(
         self,
@@ -189,6 +130,9 @@
         """
         facts = self.facts(loaded.pool, outage, listed)
         step = next_step(loaded.pool, outage, facts)
+        leaves = outage.purpose == "move" and not outage.joining
+        if isinstance(step, Advance) and leaves and outage.step == WAITING:
+            return self.mover.transfer(loaded, outage)
         if isinstance(step, Advance):
             return self.record_step(loaded, outage, step.outage)
         if isinstance(step, Finish):
@@ -247,7 +191,9 @@
         record = loaded.record
         if after.failed_probes > before.failed_probes:
             retarget = bool(
-                pool and after.target and pool.version != after.target
+                pool
+                and after.purpose == "version"
+                and pool.version != after.target
             )
             if retarget:
                 after = after._replace(
@@ -312,6 +258,30 @@
             )
         return result.succeeded
 
+    def start_move(
+        self, loaded: LoadedBudget, listed: dict[str, PlatformInstance]
+    ) -> bool:
+        """Start the move of one instance to another pool, if one is due.
+
+        :returns: whether the records were changed.
+        """
+        view = self.around.view()
+        pool = view.pools.get(loaded.pool)
+        if pool is None or not self.around.may_admit():
+            return False
+        if not self.mover.due(loaded):
+            return False
+        members = [
+            each for each in view.instances.values() if each.pool == pool.name
+        ]
+        classes = [
+            each for each in view.classes.values() if each.pool == pool.name
+        ]
+        use = budget_use(
+            members, classes, loaded.record, self.out_of_service(pool, listed)
+        )
+        return self.mover.start(loaded, listed, use)
+
     def start_outages(
         self, loaded: LoadedBudget, listed: dict[str, PlatformInstance]
     ) -> None:
@@ -328,7 +298,12 @@
             each for each in view.classes.values() if each.pool == pool.name
         ]
         waiting = candidates(
-            pool, members, listed, loaded.record, self.wall_clock(), {}
+            pool,
+            members,
+            listed,
+            loaded.record,
+            self.wall_clock(),
+            self.around.long_work(pool.name),
         )
         if not waiting:
             return
--- a/cyclamenscale/entry.py
+++ b/cyclamenscale/entry.py
@@ -209,6 +209,7 @@
             self.dispatcher,
             self.health,
             self.audit,
+            self.slots,
             monotonic,
         )
         self.fleet = build_fleet(
--- a/cyclamenscale/fleet.py
+++ b/cyclamenscale/fleet.py
@@ -22,6 +22,8 @@
 from cyclamenscale.peers import PeerLink
 from cyclamenscale.platform import Platform, PlatformInstance
 from cyclamenscale.settings import Settings
+from cyclamenscale.slot_role import SlotRole
+from cyclamenscale.slots import SlotBroker, choose_scheduler
 from cyclamenscale.util.clock import Clock
 
 PROBE_TIMEOUT_MS = 1000
@@ -51,6 +53,7 @@
     :param dispatcher: counts this entry's requests in progress.
     :param health: health of the endpoints.
     :param audit: gets the decisions.
+    :param slots: knows the demand of the pools it schedules.
     :param clock: monotonic seconds.
     """
 
@@ -64,6 +67,7 @@
         dispatcher: Dispatcher,
         health: PoolsHealth,
         audit: AuditTrail,
+        slots: SlotBroker,
         clock: Clock,
     ):
         """Register for questions and answers of peers."""
@@ -75,6 +79,7 @@
         self.dispatcher = dispatcher
         self.health = health
         self.audit = audit
+        self.slots = slots
         self.clock = clock
         # Guards token, questions.
         self.lock = Lock()
@@ -140,6 +145,28 @@
             if question and question.token == reply.token:
                 question.replies[reply.sender] = reply.count
 
+    def role(self, pool: str) -> SlotRole | None:
+        """Return the pool's scheduler if it is this entry; needs a lock."""
+        alive = set(self.link.alive()) | {self.name}
+        if choose_scheduler(pool, alive) != self.name:
+            return None
+        return self.slots.roles.get(pool)
+
+    def demand(self, pool: str) -> float | None:
+        """Return the demand of a pool that this entry schedules, in slots.
+
+        It is a sample at the controller's tick.
+        """
+        with self.slots.lock:
+            role = self.role(pool)
+            return None if role is None else role.demand()
+
+    def long_work(self, pool: str) -> dict[str, int]:
+        """Return long requests by instance, if this entry schedules them."""
+        with self.slots.lock:
+            role = self.role(pool)
+            return {} if role is None else role.long_work()
+
     def unavailable(self, pool: str) -> set[str]:
         """Return instances that fail or cannot be reached."""
         health = self.health.pool(pool)
--- /dev/null
+++ b/cyclamenscale/moving.py
@@ -0,0 +1,361 @@
+"""Moves of instances between pools, for the pool controllers.
+
+:mod:`cyclamenscale.moves` decides; this module learns the demand, publishes
+how many instances a pool wants in its budget record, and writes the start of
+a move and the change of pools.
+"""
+
+from random import Random
+
+from cyclamenscale.budget import (
+    BUDGET_PREFIX,
+    EXCLUDING,
+    REBOOTING,
+    BudgetRecord,
+    BudgetUse,
+    MoveNote,
+    Outage,
+    allowed_out,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import (
+    CLASS_PREFIX,
+    INSTANCE_PREFIX,
+    POOL_PREFIX,
+    InstanceRecord,
+    RequestClass,
+)
+from cyclamenscale.moves import (
+    Envelope,
+    PoolState,
+    patience_s,
+    pick_moves,
+    recent,
+    wanted_instances,
+)
+from cyclamenscale.outages import (
+    LoadedBudget,
+    Surroundings,
+    decode_budget,
+    load_budget,
+)
+from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.settings import Settings
+from cyclamenscale.store import Compare, Put, Store
+from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.codec import decode_record, encode_record
+
+#: Time between the decisions of a pool that could lend. Each reads all
+#: budget records, and wants change over minutes.
+DECIDE_S = 10.0
+
+#: Slots of an instance while the platform's list shows none of the pool.
+SLOTS = 8.0
+
+#: Compared classes; the store takes 128 comparisons in a transaction.
+CLASSES_LIMIT = 100
+
+
+class Mover:
+    """Learns demand, starts moves and changes an instance's pool.
+
+    :param settings: the whole settings.
+    :param store: the store.
+    :param surroundings: the rest of the entry.
+    :param metrics: counters.
+    :param wall_clock: seconds since the epoch.
+    :param rng: breaks ties between pools.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        surroundings: Surroundings,
+        metrics: Metrics,
+        wall_clock: Clock,
+        rng: Random,
+    ):
+        """Start without learned demand."""
+        self.settings = settings.fleet
+        self.store = store
+        self.around = surroundings
+        self.metrics = metrics
+        self.wall_clock = wall_clock
+        self.rng = rng
+        self.learned: dict[str, tuple[float, Envelope]] = {}
+        self.decided_s: dict[str, float] = {}
+
+    def classes(self, pool: str) -> tuple[RequestClass, ...]:
+        """Return the classes of a pool."""
+        found = self.around.view().classes.values()
+        return tuple(each for each in found if each.pool == pool)
+
+    def learn(
+        self, loaded: LoadedBudget, listed: dict[str, PlatformInstance]
+    ) -> bool:
+        """Record the demand and publish how many instances a pool wants.
+
+        An entry that has just taken over has seen little; until it has seen
+        a whole window it only raises a known want.
+
+        :returns: whether the record was changed.
+        """
+        pool, now_s = loaded.pool, self.wall_clock()
+        demand = self.around.demand(pool)
+        if demand is None:
+            self.learned.pop(pool, None)
+            return False
+        if pool not in self.learned:
+            self.learned[pool] = (now_s, Envelope(self.settings))
+        since_s, learned = self.learned[pool]
+        classes = self.classes(pool)
+        learned.record(demand, now_s, patience_s(classes))
+        if not self.decides(pool, now_s):
+            return False
+        slots = [
+            listed[name].slots
+            for name, each in self.around.view().instances.items()
+            if each.pool == pool and name in listed
+        ]
+        mean_slots = sum(slots) / len(slots) if slots else SLOTS
+        wanted = wanted_instances(
+            learned, classes, mean_slots or SLOTS, self.settings
+        )
+        known = loaded.record.wanted
+        if wanted is None or wanted == known:
+            return False
+        whole = now_s - since_s >= self.settings.envelope_s
+        if not whole and (known is None or wanted < known):
+            return False
+        put = loaded.put(loaded.record._replace(wanted=wanted))
+        return self.store.txn(loaded.compares, [put]).succeeded
+
+    def decides(self, pool: str, now_s: float) -> bool:
+        """Return whether it is time to decide on a pool."""
+        return now_s - self.decided_s.get(pool, 0.0) >= DECIDE_S
+
+    def due(self, loaded: LoadedBudget) -> bool:
+        """Return whether a pool may have an instance to lend now."""
+        now_s = self.wall_clock()
+        pool = loaded.pool
+        if not self.decides(pool, now_s):
+            return False
+        self.decided_s[pool] = now_s
+        if self.around.demand(pool) is None or loaded.record.wanted is None:
+            return False
+        found = self.around.view().instances.values()
+        size = sum(each.pool == pool for each in found)
+        return size > loaded.record.wanted
+
+    def start(
+        self,
+        loaded: LoadedBudget,
+        listed: dict[str, PlatformInstance],
+        use: BudgetUse,
+    ) -> bool:
+        """Start the move of one instance that this pool lends.
+
+        :param loaded: the donor's record.
+        :param use: the donor's budget now.
+        :returns: whether the records were changed.
+        """
+        budgets = {
+            item.key.removeprefix(BUDGET_PREFIX): item
+            for item in self.store.range(BUDGET_PREFIX).items
+        }
+        read = {
+            pool: decode_budget(pool, 0, budgets.get(pool))
+            for pool in self.around.view().pools
+        }
+        read[loaded.pool] = loaded
+        now_s = self.wall_clock()
+        states = self.states(read, use, now_s)
+        chosen = [
+            move
+            for move in pick_moves(states, now_s, self.settings, self.rng)
+            if move.donor == loaded.pool
+        ]
+        name = self.choose(loaded, listed, use)
+        if not chosen or name is None:
+            return False
+        return self.write_start(loaded, read[chosen[0].receiver], name, use)
+
+    def states(
+        self, read: dict[str, LoadedBudget], use: BudgetUse, now_s: float
+    ) -> list[PoolState]:
+        """Return what a decision needs to know of all pools.
+
+        An instance counts for the pool it goes to from the start of its
+        move.
+        """
+        view = self.around.view()
+        sizes = dict.fromkeys(view.pools, 0)
+        for member in view.instances.values():
+            if member.pool in sizes:
+                sizes[member.pool] += 1
+        for pool, loaded in read.items():
+            for each in loaded.record.outages:
+                if each.purpose == "move" and not each.joining:
+                    sizes[pool] -= 1
+                    if each.target in sizes:
+                        sizes[each.target] += 1
+        found = []
+        for pool, record in view.pools.items():
+            loaded = read[pool]
+            allowed = allowed_out(sizes[pool], self.classes(pool))
+            out = len(loaded.record.outages)
+            if loaded.fence:
+                allowed, out = use.allowed, len(use.out)
+            found.append(
+                PoolState(
+                    pool,
+                    record.spare,
+                    sizes[pool],
+                    loaded.record.wanted,
+                    recent(loaded.record.moves, now_s, self.settings),
+                    max(0, allowed - out),
+                )
+            )
+        return found
+
+    def choose(
+        self,
+        loaded: LoadedBudget,
+        listed: dict[str, PlatformInstance],
+        use: BudgetUse,
+    ) -> str | None:
+        """Return the instance to lend: without long work, oldest first.
+
+        The move reboots it, which counts as its maintenance. The budget of
+        the donor has to hold now, and once it has one member less.
+        """
+        if len(use.out) > allowed_out(use.size - 1, self.classes(loaded.pool)):
+            return None
+        long_work = self.around.long_work(loaded.pool)
+        fit = [
+            (long_work.get(name, 0), each.maintained_s, name)
+            for name, each in self.around.view().instances.items()
+            if each.pool == loaded.pool
+            and each.state == "live"
+            and name in listed
+            and name not in use.out
+            and use.admits(name)
+        ]
+        return min(fit)[2] if fit else None
+
+    def write_start(
+        self,
+        loaded: LoadedBudget,
+        receiver: LoadedBudget,
+        name: str,
+        use: BudgetUse,
+    ) -> bool:
+        """Write the start of a move, noted at both pools.
+
+        Both budget records are compared, so that the rate and the payback
+        hold however many donors decide at once.
+        """
+        view, now_s = self.around.view(), self.wall_clock()
+        outage = Outage(name, "move", EXCLUDING, now_s, receiver.pool)
+        member = view.instances[name]
+        decided_on = [INSTANCE_PREFIX + name]
+        decided_on += [POOL_PREFIX + p for p in (loaded.pool, receiver.pool)]
+        decided_on += [
+            CLASS_PREFIX + each.name for each in self.classes(loaded.pool)
+        ][:CLASSES_LIMIT]
+        receiver_key = BUDGET_PREFIX + receiver.pool
+        donor = self.noted(loaded.record, now_s, receiver.pool, False)
+        taker = self.noted(receiver.record, now_s, loaded.pool, True)
+        result = self.store.txn(
+            [
+                *loaded.compares,
+                Compare(receiver_key, receiver.revision),
+                *(
+                    Compare(key, self.around.revision_of(key))
+                    for key in decided_on
+                ),
+            ],
+            [
+                loaded.put(donor.with_outage(outage)),
+                receiver.put(taker),
+                Put(
+                    INSTANCE_PREFIX + name,
+                    encode_record(member._replace(state="draining")),
+                ),
+            ],
+        )
+        if not result.succeeded:
+            self.metrics.incr("controller.conflicts")
+            return False
+        self.metrics.incr("controller.moves_started")
+        self.around.announce(result.revision)
+        self.around.decided(
+            "outage_started",
+            name,
+            f"move to {receiver.pool}: {loaded.pool} wants "
+            f"{loaded.record.wanted} instances, {receiver.pool} wants "
+            f"{receiver.record.wanted}",
+            outage._asdict(),
+        )
+        return True
+
+    def noted(
+        self, record: BudgetRecord, now_s: float, other: str, incoming: bool
+    ) -> BudgetRecord:
+        """Return a record with a move noted and old notes dropped."""
+        kept = recent(record.moves, now_s, self.settings)
+        note = MoveNote(now_s, other, incoming)
+        return record._replace(moves=(*kept, note))
+
+    def transfer(self, loaded: LoadedBudget, outage: Outage) -> bool:
+        """Change an instance's pool, and hand its outage to the new pool.
+
+        If the new pool is gone, the instance stays and the outage goes on
+        as maintenance.
+
+        :returns: whether the records were changed.
+        """
+        view = self.around.view()
+        key = INSTANCE_PREFIX + outage.instance
+        _, found = self.store.get(key)
+        if outage.target not in view.pools or found is None:
+            stays = outage._replace(
+                purpose="maintenance", target="", step=REBOOTING
+            )
+            put = loaded.put(loaded.record.with_outage(stays))
+            return self.store.txn(loaded.compares, [put]).succeeded
+        receiver = load_budget(self.store, outage.target, 0)
+        member = decode_record(found.value, InstanceRecord, key)
+        moved = member._replace(pool=outage.target, state="moving")
+        joins = outage._replace(step=REBOOTING, joining=True)
+        compares = [
+            *loaded.compares,
+            Compare(BUDGET_PREFIX + outage.target, receiver.revision),
+            Compare(key, found.mod_revision),
+        ]
+        for pool in (loaded.pool, outage.target):
+            pool_key = POOL_PREFIX + pool
+            compares.append(
+                Compare(pool_key, self.around.revision_of(pool_key))
+            )
+        result = self.store.txn(
+            compares,
+            [
+                loaded.put(loaded.record.without(outage.instance)),
+                receiver.put(receiver.record.with_outage(joins)),
+                Put(key, encode_record(moved)),
+            ],
+        )
+        if not result.succeeded:
+            self.metrics.incr("controller.conflicts")
+            return False
+        self.metrics.incr("controller.moves")
+        self.around.announce(result.revision)
+        self.around.decided(
+            "instance_moved",
+            outage.instance,
+            f"drained in {loaded.pool}, reboots in {outage.target}",
+            outage._asdict(),
+        )
+        return True
--- a/cyclamenscale/slot_role.py
+++ b/cyclamenscale/slot_role.py
@@ -141,6 +141,30 @@
             )
         return sent
 
+    def demand(self) -> float:
+        """Return the pool's demand in slots.
+
+        :returns: slots in use, and those that clear the waiting work within
+            its targets.
+        """
+        scheduler = self.scheduler
+        used = len(scheduler.running) + len(scheduler.crossed)
+        return used + sum(
+            len(queue.live)
+            * scheduler.runtimes.quantiles(queue.name, queue.target_ms).mean_ms
+            / queue.target_ms
+            for queue in scheduler.order
+            if queue.live and queue.target_ms > 0
+        )
+
+    def long_work(self) -> dict[str, int]:
+        """Return the long requests in progress, by endpoint."""
+        return {
+            name: spot.long_used
+            for name, spot in self.scheduler.spots.items()
+            if spot.long_used
+        }
+
     def check_silent(self) -> None:
         """Ask entries that hold slots and are silent for a reset."""
         now_s = self.clock()
--- a/test/test_controller.py
+++ b/test/test_controller.py
@@ -113,6 +113,12 @@
     def in_progress(self, instance: str) -> int | None:
         return self.world.platform.instances[instance].in_progress
 
+    def long_work(self, pool: str) -> dict[str, int]:
+        return {}
+
+    def demand(self, pool: str) -> float | None:
+        return None
+
     def unavailable(self, pool: str) -> set[str]:
         return self.world.unavailable
 
