Measure roll-outs, buffers, moves and decision times

Cause: the targets of the fleet side were stated but not measured. The parameters of control.preferred_holder are described again.

--- /dev/null
+++ b/cyclamenscale/bench/fleet_rollout.py
@@ -0,0 +1,321 @@
+"""Roll-out time and decision time of the pool controllers.
+
+The controllers run over a store and a platform in memory. Drains last as
+long as the work that an instance has in progress when it is excluded.
+"""
+
+from math import ceil
+from random import Random
+from time import perf_counter
+from typing import NamedTuple
+
+from cyclamenscale.bench.trace import (
+    DEPLOYMENTS,
+    LONG_SIGMA,
+    MEAN_LOAD,
+    SHORT_SHARE,
+    SHORT_SIGMA,
+    STRAGGLER_FACTORS,
+    STRAGGLER_SHARE,
+    Deployment,
+    lognormal,
+)
+from cyclamenscale.budget import (
+    BUDGET_PREFIX,
+    CONTROL_PREFIX,
+    BudgetRecord,
+    allowed_out,
+)
+from cyclamenscale.controller import PoolController
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import (
+    CLASS_PREFIX,
+    INSTANCE_PREFIX,
+    POOL_PREFIX,
+    ConfigView,
+    InstanceRecord,
+    PoolRecord,
+    RequestClass,
+)
+from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.settings import Settings
+from cyclamenscale.standin.fleet import MemoryPlatform
+from cyclamenscale.standin.memory import MemoryStore
+from cyclamenscale.standin.state import StoreState
+from cyclamenscale.store import Put
+from cyclamenscale.util.clock import VirtualClock
+from cyclamenscale.util.codec import decode_record, encode_record
+
+START_S = 1_000_000.0
+REBOOT_S = 120.0
+#: Two instances of six or eight.
+OUT_SHARE = 0.34
+LIMIT_S = 6 * 3600
+#: Pools and instances a pool at which decisions are timed.
+SIZES = ((5, 8), (5, 255), (20, 255), (90, 8), (90, 64), (90, 255))
+TIMED_TICKS = 50
+
+
+class RolloutResult(NamedTuple):
+    """Figures of one policy over all pools of a deployment.
+
+    :ivar policy: its name.
+    :ivar seconds: mean time until a pool's last instance was done.
+    :ivar bound_s: mean lower bound: instances / budget x mean time of one,
+        which is the drawn drain and the reboot without any waiting.
+    :ivar longest_drain_s: longest drain of the run.
+    :ivar most_out: most instances of a pool out at one time.
+    :ivar allowed: how many may be out.
+    :ivar broken: ticks with more out than allowed, all pools.
+    :ivar cut: requests that a reboot cut.
+    """
+
+    policy: str
+    seconds: float
+    bound_s: float
+    longest_drain_s: float
+    most_out: int
+    allowed: int
+    broken: int
+    cut: int
+
+
+class FleetWorld:
+    """Pools, a store, a platform, and one entry that controls them all."""
+
+    def __init__(
+        self, pools: int, instances: int, settings: Settings, version: str
+    ):
+        """Write the configuration and take control of the pools."""
+        self.clock = VirtualClock(START_S)
+        self.state = StoreState(clock=self.clock)
+        self.store = MemoryStore(self.state, settings)
+        self.platform = MemoryPlatform(self.clock, reboot_s=REBOOT_S)
+        self.pools = [f"pool-{number}" for number in range(pools)]
+        self.view_now = ConfigView()
+        self.revisions: dict[str, int] = {}
+        self.long: dict[str, int] = {}
+        records = []
+        for pool in self.pools:
+            records.append((POOL_PREFIX + pool, PoolRecord(pool, False, "v2")))
+            each = RequestClass(f"{pool}-short", pool, 5000, OUT_SHARE)
+            records.append((CLASS_PREFIX + each.name, each))
+            for number in range(instances):
+                name = f"{pool}-{number}"
+                record = InstanceRecord(name, pool, maintained_s=START_S)
+                records.append((INSTANCE_PREFIX + name, record))
+                centre = f"dc-{number % 3}"
+                self.platform.add(
+                    PlatformInstance(
+                        name,
+                        "127.0.0.1:1",
+                        centre,
+                        f"{centre}-{number // 12}",
+                        version=version,
+                    )
+                )
+        for key, record in records:
+            self.store.txn([], [Put(key, encode_record(record))])
+        self.fences = {
+            pool: self.store.txn(
+                [], [Put(CONTROL_PREFIX + pool, b"")]
+            ).revision
+            for pool in self.pools
+        }
+        self.sync()
+        self.controller = PoolController(
+            settings,
+            self.store,
+            self.platform,
+            self,
+            Metrics(settings),
+            self.clock,
+        )
+
+    def sync(self) -> None:
+        """Apply the store's configuration."""
+        found = self.store.range("config/")
+        shown = {CLASS_PREFIX: {}, POOL_PREFIX: {}, INSTANCE_PREFIX: {}}
+        kinds = {
+            CLASS_PREFIX: RequestClass,
+            POOL_PREFIX: PoolRecord,
+            INSTANCE_PREFIX: InstanceRecord,
+        }
+        self.revisions = {}
+        for item in found.items:
+            self.revisions[item.key] = item.mod_revision
+            for prefix, kind in kinds.items():
+                if item.key.startswith(prefix):
+                    each = decode_record(item.value, kind, item.key)
+                    shown[prefix][each.name] = each
+        self.view_now = ConfigView(found.revision, *shown.values())
+
+    def view(self) -> ConfigView:
+        """Return the applied configuration."""
+        return self.view_now
+
+    def revision_of(self, key: str) -> int:
+        """Return the applied revision of a key."""
+        return self.revisions.get(key, 0)
+
+    def may_admit(self) -> bool:
+        """Return that the configuration is fresh."""
+        return True
+
+    def announce(self, revision: int) -> None:
+        """Tell nobody: there is one entry."""
+
+    def in_force(self, revision: int) -> bool:
+        """Return whether this entry has applied a revision."""
+        return self.view_now.revision >= revision
+
+    def in_progress(self, instance: str) -> int:
+        """Return the requests in progress at an instance."""
+        return self.platform.instances[instance].in_progress
+
+    def long_work(self, pool: str) -> dict[str, int]:
+        """Return the long requests in progress, by instance."""
+        return self.long
+
+    def demand(self, pool: str) -> float | None:
+        """Return that demand is not known; no moves in a roll-out."""
+        return None
+
+    def unavailable(self, pool: str) -> set[str]:
+        """Return that no instance fails."""
+        return set()
+
+    def probe(self, instance: PlatformInstance) -> bool:
+        """Return whether an instance answers its health probe."""
+        return self.platform.healthy(instance.name)
+
+    def decided(self, what: str, subject: str, why: str, inputs: dict) -> None:
+        """Keep no trail."""
+
+    def outages(self, pool: str) -> BudgetRecord:
+        """Read a pool's outages."""
+        key = BUDGET_PREFIX + pool
+        _, found = self.store.get(key)
+        if found is None:
+            return BudgetRecord()
+        return decode_record(found.value, BudgetRecord, key)
+
+
+class Work:
+    """Requests in progress at one instance, by the time they end.
+
+    :param rng: source of the run times.
+    :param of: the deployment.
+    """
+
+    def __init__(self, rng: Random, of: Deployment):
+        """Start with the mean load in its steady state."""
+        self.rng = rng
+        self.of = of
+        self.ends: list[tuple[float, bool]] = []
+        for _ in range(of.slots):
+            if rng.random() < MEAN_LOAD:
+                self.begin(START_S, rng.random())
+
+    def begin(self, now_s: float, left_share: float = 1.0) -> None:
+        """Start a request; the share of short work is by time in a slot."""
+        rng, of = self.rng, self.of
+        long = rng.random() >= SHORT_SHARE
+        sigma = LONG_SIGMA if long else SHORT_SIGMA
+        run_s = lognormal(rng, of.long_s if long else of.short_s, sigma)
+        factor = sum(STRAGGLER_FACTORS) / 2
+        # A straggler is found in a slot in proportion to its run time.
+        odds = STRAGGLER_SHARE * factor
+        if rng.random() < odds / (1 + odds):
+            run_s *= rng.uniform(*STRAGGLER_FACTORS)
+        self.ends.append((now_s + run_s * left_share, long))
+
+    def step(self, now_s: float, admits: bool) -> None:
+        """End what is over and, on a live instance, refill the slots."""
+        before = len(self.ends)
+        self.ends = [each for each in self.ends if each[0] > now_s]
+        if not admits:
+            return
+        for _ in range(before - len(self.ends)):
+            self.begin(now_s, self.rng.random())
+        if not self.ends:
+            self.begin(now_s, self.rng.random())
+
+
+def run_rollout(
+    seed: int, deployment: str, policy: str, settings: Settings
+) -> RolloutResult:
+    """Roll a version out over all pools of a deployment."""
+    of = DEPLOYMENTS[deployment]
+    fleet = settings.fleet._replace(rollout=policy)
+    world = FleetWorld(
+        of.pools, of.endpoints, settings._replace(fleet=fleet), "v1"
+    )
+    rng = Random(f"roll-out {seed}")
+    work = {name: Work(rng, of) for name in world.platform.instances}
+    ended: dict[str, float] = {}
+    drains: dict[str, float] = {}
+    most = broken = 0
+    classes = [RequestClass("", "", 5000, OUT_SHARE)]
+    allowed = allowed_out(of.endpoints, classes)
+    while len(ended) < len(world.pools):
+        now_s = world.clock()
+        if now_s - START_S > LIMIT_S:
+            break
+        world.sync()
+        for name, member in world.view_now.instances.items():
+            live = member.state == "live"
+            work[name].step(now_s, live)
+            if not live and name not in drains:
+                last_s = max((end for end, _ in work[name].ends), default=0)
+                drains[name] = max(0.0, last_s - now_s)
+            found = world.platform.instances[name]
+            found.in_progress = len(work[name].ends)
+            world.long[name] = sum(long for _, long in work[name].ends)
+        for pool in world.pools:
+            world.controller.tick(pool, world.fences[pool])
+            out = len(world.outages(pool).outages)
+            most = max(most, out)
+            broken += out > allowed
+            versions = {
+                world.platform.instances[name].listed.version
+                for name, each in world.view_now.instances.items()
+                if each.pool == pool
+            }
+            if pool not in ended and not out and versions == {"v2"}:
+                ended[pool] = now_s - START_S
+        world.clock.advance(settings.fleet.tick_s)
+    bounds = []
+    for pool in world.pools:
+        names = [n for n in drains if n.rpartition("-")[0] == pool]
+        one_s = REBOOT_S + sum(drains[n] for n in names) / max(1, len(names))
+        bounds.append(of.endpoints / allowed * one_s)
+    times = [ended.get(pool, float(LIMIT_S)) for pool in world.pools]
+    return RolloutResult(
+        policy,
+        sum(times) / len(times),
+        sum(bounds) / len(bounds),
+        max(drains.values(), default=0.0),
+        most,
+        allowed,
+        broken,
+        sum(each.cut_requests for each in world.platform.instances.values()),
+    )
+
+
+def decision_ms(
+    pools: int, instances: int, settings: Settings
+) -> tuple[float, float]:
+    """Time the controller's tick of one pool, in steady state.
+
+    :returns: p50 and p99 in milliseconds, on the real clock.
+    """
+    world = FleetWorld(pools, instances, settings, "v2")
+    times = []
+    for number in range(TIMED_TICKS):
+        pool = world.pools[number % pools]
+        began_s = perf_counter()
+        world.controller.tick(pool, world.fences[pool])
+        times.append((perf_counter() - began_s) * 1000)
+    times.sort()
+    return times[len(times) // 2], times[ceil(0.99 * len(times)) - 1]
--- a/cyclamenscale/control.py
+++ b/cyclamenscale/control.py
@@ -31,6 +31,9 @@
 
     It is the entry that schedules the pool's slots, because only that one
     knows the demand that moves of instances follow.
+
+    :param pool: name of the pool.
+    :param alive: names of the entries that are heard.
     """
     return max(
         alive,
--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -87,6 +87,19 @@
 
         return finish(run(seed=seed))
 
+    @command
+    def fleet(
+        self, *, seed: int = 1, deployment: str = "szlifrail"
+    ) -> int | None:
+        """Measure roll-outs, buffers, moves and decision times.
+
+        :param seed: seed of the load.
+        :param deployment: deployment to simulate, szlifrail or kamnolom.
+        """
+        from cyclamenscale.bench.fleet import run
+
+        return finish(run(seed=seed, deployment=deployment))
+
     @command
     def path(self) -> int | None:
         """Measure the request path."""
