Carry out all steps of an outage that need no waiting in one tick

Cause: each step of a planned outage waited for the controller's next tick. Change: a tick goes on with an outage until a step has to wait. Each step is still recorded before it is carried out, and a failing probe is still tried once a tick.

--- a/cyclamenscale/controller.py
+++ b/cyclamenscale/controller.py
@@ -100,8 +100,7 @@
             }
             loaded = self.load(pool, fence)
             for outage in loaded.record.outages:
-                if self.advance(loaded, outage, listed):
-                    loaded = self.load(pool, fence)
+                loaded = self.advance_far(loaded, outage, listed)
             if self.mover.learn(loaded, listed):
                 loaded = self.load(pool, fence)
             if self.start_move(loaded, listed):
@@ -118,6 +117,28 @@
         """Read a pool's budget record."""
         return load_budget(self.store, pool, fence)
 
+    def advance_far(
+        self,
+        loaded: LoadedBudget,
+        outage: Outage,
+        listed: dict[str, PlatformInstance],
+    ) -> LoadedBudget:
+        """Carry out the steps of one outage that need no waiting.
+
+        An outage whose step stays the same is left to the next tick, so
+        that a failing probe is tried once a tick.
+
+        :returns: the pool's record as it is then.
+        """
+        step = ""
+        while outage and outage.step != step:
+            step = outage.step
+            if not self.advance(loaded, outage, listed):
+                break
+            loaded = self.load(loaded.pool, loaded.fence)
+            outage = loaded.record.outage_of(outage.instance)
+        return loaded
+
     def advance(
         self,
         loaded: LoadedBudget,
