Compare the donor's other members when a move starts

Cause: the size of the donor decides its budget, but a member that an operator removed meanwhile was not noticed. Change: the start compares the donor's classes and members as read, up to the store's limit of comparisons.

--- a/cyclamenscale/moving.py
+++ b/cyclamenscale/moving.py
@@ -52,8 +52,9 @@
 #: Slots of an instance while the platform's list shows none of the pool.
 SLOTS = 8.0
 
-#: Compared classes; the store takes 128 comparisons in a transaction.
-CLASSES_LIMIT = 100
+#: Compared classes and members; the store takes 128 comparisons in a
+#: transaction.
+COMPARES_LIMIT = 110
 
 
 class Mover:
@@ -261,9 +262,13 @@
         member = view.instances[name]
         decided_on = [INSTANCE_PREFIX + name]
         decided_on += [POOL_PREFIX + p for p in (loaded.pool, receiver.pool)]
-        decided_on += [
-            CLASS_PREFIX + each.name for each in self.classes(loaded.pool)
-        ][:CLASSES_LIMIT]
+        others = [CLASS_PREFIX + e.name for e in self.classes(loaded.pool)]
+        others += [
+            INSTANCE_PREFIX + each.name
+            for each in view.instances.values()
+            if each.pool == loaded.pool and each.name != name
+        ]
+        decided_on += others[:COMPARES_LIMIT]
         receiver_key = BUDGET_PREFIX + receiver.pool
         donor = self.noted(loaded.record, now_s, receiver.pool, False)
         taker = self.noted(receiver.record, now_s, loaded.pool, True)
