Test that a move does not start on an old target

Cause: no test failed when a move's start ignored the donor's classes. Change: a test lowers the target under an old view; the mutation that drops the comparison is caught by it. Conclusion: the comparison of the targets is guarded.

--- a/test/test_moves.py
+++ b/test/test_moves.py
@@ -98,6 +98,25 @@
     assert len(world.record(SPARE).moves) == FLEET.moves_per_hour
 
 
+def test_lowered_target_holds_for_moves_not_started():
+    """Guards against a controller that lends on an old target."""
+    world = MovesWorld()
+    for entry in world.entries:
+        entry.fresh = False
+    world.run(150)
+    for entry in world.entries:
+        entry.fresh = True
+    world.set_share(0.05)
+    for _ in range(12):
+        world.clock.advance(1.0)
+        for entry in world.entries:
+            entry.tick()
+    assert not world.record(POOL).outages
+    world.set_share(0.5)
+    world.run(12)
+    assert world.record(POOL).moves
+
+
 def pool(name, size, wanted, spare=False, moves=(), may_lend=1):
     """Make the state of a pool."""
     return PoolState(name, spare, size, wanted, moves, may_lend)
@@ -278,6 +297,11 @@
     monkeypatch.setattr(moving, "allowed_out", lambda size, classes: size)
 
 
+def ignore_targets(monkeypatch):
+    """Do not compare the targets that a move was decided on."""
+    monkeypatch.setattr(moving, "CLASS_PREFIX", "absent/")
+
+
 def keep_pool(monkeypatch):
     """Hand the outage over without the instance's new pool."""
     encode = moving.encode_record
@@ -317,6 +341,7 @@
         leave_outage,
         forget_moves,
         ignore_budget,
+        ignore_targets,
         keep_pool,
         skip_drain,
         count_as_member,
@@ -326,6 +351,7 @@
     """Guards against invariants that could not fail."""
     mutate(monkeypatch)
     with pytest.raises(AssertionError):
+        test_lowered_target_holds_for_moves_not_started()
         run_state_machine_as_test(
             MovesMachine,
             settings=hypothesis_settings(
