--- a/cyclamenscale/slot_handover.py
+++ b/cyclamenscale/slot_handover.py
@@ -25,7 +25,7 @@
 #: While the most urgent work queues anyway, messages that free no slot may
 #: wait this long for others to share a frame with; so may all that ask for
 #: no slot while many are free.
-HOLD_S = 0.05
+HOLD_S = 0.045
 
 
 class Ask(NamedTuple):
