Log that the configuration watch works only after its first event

Cause: the reader noted the watch as working before it was opened, so that in an outage of the store each retry logged that it works and then failed. Change: it is noted after the first event of the watch, which the store sends at least as progress. Result, entries restarted in an outage (test_processes.py), lines of eight entries: before 89 'works again' and 97 'failed', after 0 and 8, as that test ends with the outage; test of the store's outage: 8 and 8. test_reader.py passes.

--- a/cyclamenscale/reader.py
+++ b/cyclamenscale/reader.py
@@ -99,8 +99,9 @@
             try:
                 if self.table.covered == 0 or self.freshness.recovering:
                     self.read()
-                self.note(True)
                 for changed in self.events():
+                    # Not before: a watch can be opened and then fail.
+                    self.note(True)
                     failures = 0
                     if changed:
                         self.metrics.incr("reader.changes", changed)
