--- a/cyclamenscale/bench/capacity.py
+++ b/cyclamenscale/bench/capacity.py
@@ -133,11 +133,17 @@
         table_.apply([old._replace(revision=revision)], revision)
 
     apply_us = mean_us(change, 30)
+    tracemalloc.start()
     instances = {each.name: each for each in listed(size)}
+    merged = merge(table_.view, instances)
+    list_memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del merged
     merge_us = mean_us(lambda: merge(table_.view, instances), 5)
     list_bytes = len(to_json(list(instances.values())))
     return [
         Line("configuration, memory", size, memory / 1e6, "MB"),
+        Line("list and merge, memory", size, list_memory / 1e6, "MB"),
         Line("apply one change", size, apply_us, "us"),
         Line("merge with the platform's list", size, merge_us / 1000, "ms"),
         Line("platform's list, one read", size, list_bytes / 1000, "KB"),
--- a/cyclamenscale/platform_http.py
+++ b/cyclamenscale/platform_http.py
@@ -6,6 +6,7 @@
 """
 
 from io import BytesIO
+from threading import Lock
 from urllib.parse import quote
 
 import pycurl
@@ -38,16 +39,32 @@
     def __init__(self, settings: Settings):
         """Keep the address."""
         self.settings = settings.platform
+        # Guards last; replaced as a whole.
+        self.lock = Lock()
+        self.last: tuple[str, list[PlatformInstance]] = ("", [])
 
     def list_instances(self) -> list[PlatformInstance]:
-        """Read the lagging list."""
-        status, body = self.call("list_instances", "GET", "/v1/instances")
+        """Read the lagging list.
+
+        The read is conditional (RFC 9110, If-None-Match), because the list
+        is the largest message that an entry receives at rest.
+        """
+        with self.lock:
+            tag, known = self.last
+        status, body, new_tag = self.fetch(
+            "list_instances", "GET", "/v1/instances", tag=tag
+        )
+        if status == 304 and tag:
+            return known
         if status != 200:
             raise PlatformUnavailableError("list_instances", f"HTTP {status}")
-        return [
+        found = [
             decode(each, PlatformInstance, "list_instances")
             for each in parse(body, list, "list_instances")
         ]
+        with self.lock:
+            self.last = (new_tag, found)
+        return found
 
     def status(self, instance: str) -> InstanceStatus:
         """Read the state of one instance."""
@@ -81,7 +98,29 @@
         :returns: HTTP status and body.
         :raises PlatformUnavailableError: if there is no complete answer.
         """
+        return self.fetch(operation, method, path, body)[:2]
+
+    def fetch(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        tag: str = "",
+    ) -> tuple[int, bytes, str]:
+        """Make one call, conditional if an entity tag is given.
+
+        :returns: HTTP status, body and the answer's entity tag.
+        :raises PlatformUnavailableError: if there is no complete answer.
+        """
         out = BytesIO()
+        tags = [""]
+
+        def on_header(line: bytes) -> None:
+            name, _, value = line.decode("latin-1").partition(":")
+            if name.strip().lower() == "etag":
+                tags[0] = value.strip()
+
         curl = pycurl.Curl()
         timeout_ms = int(self.settings.call_timeout_s * 1000)
         try:
@@ -94,9 +133,12 @@
             curl.setopt(pycurl.WRITEFUNCTION, out.write)
             if body:
                 curl.setopt(pycurl.POSTFIELDS, body)
-            curl.setopt(pycurl.HTTPHEADER, ["Expect:"])
+            condition = [f"If-None-Match: {tag}"] if tag else []
+            curl.setopt(pycurl.HTTPHEADER, ["Expect:", *condition])
+            curl.setopt(pycurl.HEADERFUNCTION, on_header)
             curl.perform()
-            return curl.getinfo(pycurl.RESPONSE_CODE), out.getvalue()
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+            return status, out.getvalue(), tags[0]
         except pycurl.error as error:
             reason = error.args[1] if len(error.args) > 1 else "no answer"
             raise PlatformUnavailableError(operation, reason) from error
--- a/cyclamenscale/standin/platform.py
+++ b/cyclamenscale/standin/platform.py
@@ -111,7 +111,7 @@
         parts = [part.replace("%2F", "/") for part in path.split("/")]
         try:
             with self.lock:
-                return self.serve(parts, request.get_data())
+                return self.serve(parts, request)
         except (FieldError, TypeError) as error:
             return json_response({"error": str(error)}, 400)
         except PlatformUnavailableError as error:
@@ -121,20 +121,22 @@
         except NotFoundError as error:
             return json_response({"error": str(error)}, 404)
 
-    def serve(self, parts: list[str], body: bytes) -> Response:
+    def serve(self, parts: list[str], request: Request) -> Response:
         """Make the call of a path.
 
         :raises TypeError: if the body lacks a field or has another one.
         """
         if parts == ["v1", "instances"]:
-            return json_response(self.memory.list_instances())
+            answer = json_response(self.memory.list_instances())
+            answer.add_etag()
+            return answer.make_conditional(request)
         if len(parts) == 4 and parts[2] in self.running:
             found = self.memory.instances[parts[2]]
             found.in_progress = self.running[parts[2]]()
         if len(parts) == 4 and parts[3] == "status":
             return json_response(self.memory.status(parts[2]))
         if len(parts) == 4 and parts[3] == "reboot":
-            fields = from_json(body, "body")
+            fields = from_json(request.get_data(), "body")
             self.memory.status(parts[2])
             self.memory.reboot(parts[2], **fields)
             return json_response({})
--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -107,6 +107,13 @@
 
         return finish(run())
 
+    @command
+    def changes(self) -> int | None:
+        """Measure the time until changes are in force, and store calls."""
+        from cyclamenscale.bench.changes import run
+
+        return finish(run())
+
     @command
     def capacity(self) -> int | None:
         """Measure the slopes behind docs/CAPACITY.md."""
--- a/test/test_platform_http.py
+++ b/test/test_platform_http.py
@@ -92,3 +92,24 @@
     server.slow_s = 60.0
     with pytest.raises(PlatformUnavailableError):
         platform_for(server, timeout_s=0.1).list_instances()
+
+
+def test_an_unchanged_list_is_not_sent_again(server, clock, monkeypatch):
+    """Guards against the whole list on the wire at each poll."""
+    platform = platform_for(server)
+    answers = []
+    fetch = platform.fetch
+
+    def noted(*args, **options):
+        answers.append(fetch(*args, **options))
+        return answers[-1]
+
+    monkeypatch.setattr(platform, "fetch", noted)
+    assert platform.list_instances() == [FIRST]
+    assert platform.list_instances() == [FIRST]
+    assert [answer[0] for answer in answers] == [200, 304]
+    assert answers[1][1] == b""
+    server.add(SECOND)
+    platform.list_instances()
+    clock.advance(2.0)
+    assert platform.list_instances() == [FIRST, SECOND]
