--- a/cyclamenscale/bench/policies.py
+++ b/cyclamenscale/bench/policies.py
@@ -12,8 +12,8 @@
 from cyclamenscale.bench.trace import Request
 from cyclamenscale.bench.world import World
 from cyclamenscale.scheduling import policy
-from cyclamenscale.slots import choose_scheduler
 from cyclamenscale.util.codec import pack
+from cyclamenscale.util.rendezvous import choose
 
 #: Version and type of a frame.
 FRAME_BYTES = 2
@@ -219,7 +219,7 @@
     def lessor(self, pool: int) -> int:
         """Return the entry that leases a pool's slots."""
         names = [f"entry-{entry}" for entry in self.world.alive()]
-        return int(choose_scheduler(f"pool-{pool}", names)[6:])
+        return int(choose(f"pool-{pool}", names)[6:])
 
     def report(self, entry: int) -> None:
         """Tell the lessors what has changed."""
--- a/cyclamenscale/bench/policy.py
+++ b/cyclamenscale/bench/policy.py
@@ -18,7 +18,7 @@
 from cyclamenscale.bench.world import Fault, Outcome, World, heartbeat_rate
 from cyclamenscale.errors import NotFoundError
 from cyclamenscale.scheduling import find_policy
-from cyclamenscale.slots import choose_scheduler
+from cyclamenscale.util.rendezvous import choose
 
 YARDSTICK = "central"
 SUBJECT = "pool_scheduler"
@@ -176,7 +176,7 @@
     deployment = DEPLOYMENTS[deployment_name]
     trace = make_trace(deployment, seed, seconds)
     entries = [f"entry-{i}" for i in range(deployment.entries)]
-    entry = int(choose_scheduler("pool-0", entries)[6:])
+    entry = int(choose("pool-0", entries)[6:])
     at_s = (deployment.pools + 0.5) * TURN_S
     return {
         kind: [
--- a/cyclamenscale/control.py
+++ b/cyclamenscale/control.py
@@ -7,8 +7,6 @@
 
 from collections.abc import Callable, Iterable
 
-from xxhash import xxh64_intdigest
-
 from cyclamenscale.budget import CONTROL_PREFIX, ControlRecord
 from cyclamenscale.errors import LeaseLostError, StoreError
 from cyclamenscale.metrics import Metrics
@@ -16,6 +14,7 @@
 from cyclamenscale.store import Compare, Delete, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
+from cyclamenscale.util.rendezvous import choose
 
 #: Renewals in the time to live of the lease. More of them would cost a
 #: write a second for each entry.
@@ -26,21 +25,6 @@
 HOLD_SHARE = 0.75
 
 
-def preferred_holder(pool: str, alive: Iterable[str]) -> str:
-    """Return the entry that should control a pool (rendezvous hashing).
-
-    It is the entry that schedules the pool's slots, because only that one
-    knows the demand that moves of instances follow.
-
-    :param pool: name of the pool.
-    :param alive: names of the entries that are heard.
-    """
-    return max(
-        alive,
-        key=lambda name: (xxh64_intdigest(f"{pool}\0{name}".encode()), name),
-    )
-
-
 class ControlHolder:
     """The pools that this entry controls.
 
@@ -119,8 +103,10 @@
             for pool, each in found.items()
             if self.lease and each.lease == self.lease
         }
+        # The entry that schedules a pool's slots is chosen by the same hash:
+        # it alone knows the demand that moves of instances follow.
         for pool in sorted(pools):
-            mine = preferred_holder(pool, alive) == self.name
+            mine = choose(pool, alive) == self.name
             if pool not in found:
                 holder = None
             else:
--- a/cyclamenscale/fleet.py
+++ b/cyclamenscale/fleet.py
@@ -23,8 +23,9 @@
 from cyclamenscale.platform import Platform, PlatformInstance
 from cyclamenscale.settings import Settings
 from cyclamenscale.slot_role import SlotRole
-from cyclamenscale.slots import SlotBroker, choose_scheduler
+from cyclamenscale.slots import SlotBroker
 from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.rendezvous import choose
 
 PROBE_TIMEOUT_MS = 1000
 
@@ -148,7 +149,7 @@
     def role(self, pool: str) -> SlotRole | None:
         """Return the pool's scheduler if it is this entry; needs a lock."""
         alive = set(self.link.alive()) | {self.name}
-        if choose_scheduler(pool, alive) != self.name:
+        if choose(pool, alive) != self.name:
             return None
         return self.slots.roles.get(pool)
 
--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -34,8 +34,9 @@
 from cyclamenscale.settings import EntrySettings, Settings
 from cyclamenscale.slot_client import PoolView, SlotClient
 from cyclamenscale.slot_role import SlotRole
-from cyclamenscale.slots import SlotBroker, choose_scheduler
+from cyclamenscale.slots import SlotBroker
 from cyclamenscale.util.clock import VirtualClock
+from cyclamenscale.util.rendezvous import choose
 
 SHORT = RequestClass("short", "p", 5000, 0.2)
 LONG = RequestClass("long", "p", 600_000, 0.2)
@@ -78,12 +79,12 @@
             ENDPOINTS, self.allowed, TARGETS, {}, frozenset(self.alive)
         )
         for name in self.alive - self.paused:
-            self.clients[name].update(view, choose_scheduler("p", self.alive))
+            self.clients[name].update(view, choose("p", self.alive))
             self.roles[name].update(view)
 
     @property
     def scheduler(self):
-        return choose_scheduler("p", self.alive)
+        return choose("p", self.alive)
 
     def send(self, source, target, content):
         self.sent += 1
