Wait at least a millisecond for a store call's turn

Cause: the whole test run hung in test_pacing: rounding left a bucket short of a token by so little that the wait did not move the virtual clock, and the loop never ended. With a real clock it would have been a busy loop of some microseconds. Change: a wait of at least 1 ms; a test that a refusal seen by one entry excludes the leaving endpoint at the other.

--- a/cyclamenscale/pacing.py
+++ b/cyclamenscale/pacing.py
@@ -27,6 +27,10 @@
 #: Entries assumed while the member list is not known.
 DEFAULT_ENTRIES = 8
 
+#: Shortest wait. Rounding can leave a bucket short of a token by so little
+#: that the time to fill it does not move the clock.
+WAIT_MIN_S = 0.001
+
 #: Seconds of its share that an entry may use at once.
 BURST_S = 1.0
 
@@ -90,6 +94,7 @@
                     operation, "this entry's share of calls is used up"
                 )
             self.metrics.incr("store.paced")
+            wait_s = max(wait_s, WAIT_MIN_S)
             self.pause(wait_s)
             left_s -= wait_s
 
--- a/test/test_local.py
+++ b/test/test_local.py
@@ -8,6 +8,7 @@
 from cyclamenscale.local import CLASSES, POOL, Deployment
 from cyclamenscale.local_calls import call
 from cyclamenscale.settings import Settings, ShutdownSettings
+from cyclamenscale.util.clock import monotonic
 from test.nodes import eventually
 
 #: Four endpoints have 32 slots; an entry has 64 threads for callers.
@@ -110,3 +111,25 @@
     entry = deployment.entries[0]
     result = call(entry.callers.address, 2000, unknown, 1)
     assert (result.status, result.outcome) == (400, "not_run")
+
+
+def test_sign_of_one_entry_excludes_an_endpoint_at_all(deployment):
+    """Guards against an entry that learns of a leaving endpoint by itself."""
+    first, second = deployment.entries
+    leaving = deployment.endpoints["node-1"]
+    leaving.leaving = True
+    try:
+        number = 4000
+        while not leaving.refused:
+            number += 1
+            assert number < 4500
+            result = call(first.callers.address, number, CLASSES[0], 1)
+            assert result.outcome == "answered"
+        eventually(
+            lambda: (
+                "node-1" not in second.health.pool(POOL).usable(monotonic())
+            ),
+            "the other entry excludes the endpoint",
+        )
+    finally:
+        leaving.leaving = False
