--- a/cyclamenscale/audit.py
+++ b/cyclamenscale/audit.py
@@ -122,6 +122,18 @@
     return f"the roll-out in pool {decision.subject} was halted"
 
 
+@decision_kind("endpoint_excluded", "instance")
+def endpoint_excluded(decision: Decision) -> str:
+    """Word the exclusion of an endpoint from new work."""
+    return f"instance {decision.subject} gets no new work"
+
+
+@decision_kind("endpoint_back", "instance")
+def endpoint_back(decision: Decision) -> str:
+    """Word the end of an exclusion."""
+    return f"instance {decision.subject} gets new work again"
+
+
 @decision_kind("change_refused", "key")
 def change_refused(decision: Decision) -> str:
     """Word the refusal of a change."""
--- a/cyclamenscale/discovery.py
+++ b/cyclamenscale/discovery.py
@@ -8,13 +8,14 @@
 
 from loguru import logger
 
+from cyclamenscale.audit import AuditTrail
 from cyclamenscale.configuration import ConfigTable
 from cyclamenscale.directory import Directory
 from cyclamenscale.errors import PlatformUnavailableError
 from cyclamenscale.messages import EndpointSign
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import Endpoint
-from cyclamenscale.outliers import PoolsHealth
+from cyclamenscale.outliers import HealthSign, PoolsHealth
 from cyclamenscale.peers import PeerLink
 from cyclamenscale.platform import Platform
 from cyclamenscale.settings import Settings
@@ -57,6 +58,7 @@
     :param directory: gets the merge.
     :param health: gets the endpoints and the signs.
     :param link: the peer link.
+    :param audit: gets the exclusions that this entry decided.
     :param metrics: counters.
     :param clock: monotonic seconds.
     """
@@ -69,6 +71,7 @@
         directory: Directory,
         health: PoolsHealth,
         link: PeerLink,
+        audit: AuditTrail,
         metrics: Metrics,
         clock: Clock,
     ):
@@ -80,6 +83,7 @@
         self.directory = directory
         self.health = health
         self.link = link
+        self.audit = audit
         self.metrics = metrics
         self.clock = clock
         self.polled_s = float("-inf")
@@ -109,6 +113,27 @@
             self.link.broadcast(
                 EndpointSign(self.name, sign.endpoint, sign.sign)
             )
+            self.record(sign)
+
+    def record(self, sign: HealthSign) -> None:
+        """Add an exclusion, or its end, to the audit trail."""
+        health = self.health.pool_of(sign.endpoint)
+        state = health.states.get(sign.endpoint) if health else None
+        inputs = {"sign": sign.sign}
+        if state is not None:
+            inputs |= {
+                "sources": sorted(state.leaving),
+                "failures_in_row": state.failures_in_row,
+                "exclusions": state.exclusions,
+            }
+        back = sign.sign == "back"
+        self.audit.decided(
+            "endpoint_back" if back else "endpoint_excluded",
+            sign.endpoint,
+            f"seen here as {sign.sign}",
+            inputs,
+            who=self.name,
+        )
 
     def poll(self) -> None:
         """Read the platform's list; without an answer the last one stays."""
--- a/cyclamenscale/entry.py
+++ b/cyclamenscale/entry.py
@@ -102,6 +102,13 @@
     def build_path(self) -> None:
         """Make what the requests of callers pass through."""
         settings, metrics = self.settings, self.metrics
+        self.audit = AuditTrail(
+            settings,
+            self.store,
+            metrics,
+            self.table,
+            lambda request: self.dispatcher.explain(request),
+        )
         self.directory = LiveDirectory(monotonic, self.table)
         self.health = PoolsHealth(settings.outliers)
         self.discovery = Discovery(
@@ -111,6 +118,7 @@
             self.directory,
             self.health,
             self.link,
+            self.audit,
             metrics,
             monotonic,
         )
@@ -154,13 +162,6 @@
     def build_servers(self) -> None:
         """Make the servers of callers and operators."""
         settings, metrics = self.settings, self.metrics
-        self.audit = AuditTrail(
-            settings,
-            self.store,
-            metrics,
-            self.table,
-            self.dispatcher.explain,
-        )
         self.caller_app = CallerApp(
             settings, self.dispatcher, self.freshness, metrics
         )
