Share one quantile and one set-up of single HTTP calls

Cause: the read-through found three functions for a quantile, with two different roundings, and the same four pycurl options set in five places. Change: util/quantiles takes the nearest rank as bench policy did; util/curl makes the handles of the platform adapter, the health probe, the operators' client, the callers of the main job and bench path. Figures of bench path, changes and placement may move by one rank of the sample. Conclusion: the same term has the same meaning in all reports.

--- a/cyclamenscale/bench/changes.py
+++ b/cyclamenscale/bench/changes.py
@@ -5,9 +5,9 @@
 from threading import Event
 
 from cyclamenscale.local import POOL, Deployment
-from cyclamenscale.local_report import quantile
 from cyclamenscale.settings import Settings, ShutdownSettings
 from cyclamenscale.ui.client import Client
+from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.tables import table
 
 ENTRIES = 8
--- a/cyclamenscale/bench/path.py
+++ b/cyclamenscale/bench/path.py
@@ -13,8 +13,9 @@
 import pycurl
 
 from cyclamenscale.local import DemoClass, Deployment
-from cyclamenscale.local_report import quantile
 from cyclamenscale.settings import CallersSettings, Settings, ShutdownSettings
+from cyclamenscale.util.curl import new_curl
+from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.tables import table
 
 LATENCY_CALLS = 300
@@ -50,10 +51,7 @@
 
     def __init__(self, address: str, headers: list[str]):
         """Prepare the handle."""
-        self.curl = pycurl.Curl()
-        self.curl.setopt(pycurl.URL, f"http://{address}/plan")
-        self.curl.setopt(pycurl.PROXY, "")
-        self.curl.setopt(pycurl.NOSIGNAL, 1)
+        self.curl = new_curl(f"http://{address}/plan")
         self.curl.setopt(pycurl.HTTPHEADER, headers)
 
     def call(self) -> float:
--- a/cyclamenscale/bench/placement.py
+++ b/cyclamenscale/bench/placement.py
@@ -20,6 +20,7 @@
 from cyclamenscale.placement import Spread, group_of, make_policy
 from cyclamenscale.platform import Resources
 from cyclamenscale.usage_history import UsageHistory
+from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.tables import table
 from cyclamenscale.worker_index import WorkerIndex
 
@@ -33,14 +34,6 @@
 SEEDS = 5
 
 
-def quantile(values: list[float], share: float) -> float:
-    """Return a quantile of some values, 0 for none."""
-    values = sorted(values)
-    if not values:
-        return 0.0
-    return values[min(int(share * len(values)), len(values) - 1)]
-
-
 class Placed(NamedTuple):
     """A task of the decision benchmark.
 
--- a/cyclamenscale/bench/policy.py
+++ b/cyclamenscale/bench/policy.py
@@ -5,7 +5,6 @@
 depends on the seed alone.
 """
 
-from math import ceil
 from typing import NamedTuple
 
 from cyclamenscale.bench import brokers, policies
@@ -18,6 +17,7 @@
 from cyclamenscale.bench.world import Fault, Outcome, World, heartbeat_rate
 from cyclamenscale.errors import NotFoundError
 from cyclamenscale.scheduling import find_policy
+from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.rendezvous import choose
 
 YARDSTICK = "central"
@@ -62,13 +62,6 @@
     timeline: list[float]
 
 
-def quantile(ordered: list[float], share: float) -> float:
-    """Return a quantile of sorted values (nearest rank)."""
-    if not ordered:
-        return 0.0
-    return ordered[max(0, ceil(share * len(ordered)) - 1)]
-
-
 def wait_ms(request: Request, outcome: Outcome, target_s: float) -> float:
     """Return the wait of a request."""
     if outcome.start_s is None:
--- a/cyclamenscale/fleet.py
+++ b/cyclamenscale/fleet.py
@@ -25,6 +25,7 @@
 from cyclamenscale.slot_role import SlotRole
 from cyclamenscale.slots import SlotBroker
 from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.curl import new_curl
 from cyclamenscale.util.rendezvous import choose
 
 PROBE_TIMEOUT_MS = 1000
@@ -180,12 +181,9 @@
 
     def probe(self, instance: PlatformInstance) -> bool:
         """Return whether an instance answers its health page."""
-        handle = pycurl.Curl()
+        url = f"http://{instance.address}/health"
+        handle = new_curl(url, PROBE_TIMEOUT_MS)
         try:
-            handle.setopt(pycurl.URL, f"http://{instance.address}/health")
-            handle.setopt(pycurl.PROXY, "")
-            handle.setopt(pycurl.NOSIGNAL, 1)
-            handle.setopt(pycurl.TIMEOUT_MS, PROBE_TIMEOUT_MS)
             handle.setopt(pycurl.WRITEFUNCTION, len)
             handle.perform()
             return handle.getinfo(pycurl.RESPONSE_CODE) == 200
--- a/cyclamenscale/local_calls.py
+++ b/cyclamenscale/local_calls.py
@@ -7,6 +7,8 @@
 import pycurl
 from msgspec import DecodeError, json
 
+from cyclamenscale.util.curl import new_curl
+
 #: Longer than any deadline of the run; a request without an answer by then
 #: counts as lost.
 CALL_TIMEOUT_MS = 30000
@@ -51,13 +53,9 @@
         name, _, value = line.decode("latin-1").partition(":")
         headers[name.strip().lower()] = value.strip()
 
-    curl = pycurl.Curl()
+    curl = new_curl(f"http://{address}/{key}", CALL_TIMEOUT_MS)
     started_s = monotonic()
     try:
-        curl.setopt(pycurl.URL, f"http://{address}/{key}")
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.TIMEOUT_MS, CALL_TIMEOUT_MS)
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.POSTFIELDS, key)
--- a/cyclamenscale/local_report.py
+++ b/cyclamenscale/local_report.py
@@ -6,6 +6,7 @@
 
 from cyclamenscale.local_calls import CallResult
 from cyclamenscale.standin.endpoint import RunRecord
+from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.tables import table
 
 COLUMNS = (
@@ -71,14 +72,6 @@
         return table(COLUMNS, rows)
 
 
-def quantile(values: list[float], share: float) -> float:
-    """Return a quantile by nearest rank, 0 without values."""
-    ordered = sorted(values)
-    if not ordered:
-        return 0.0
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
 def account(
     results: Iterable[CallResult],
     runs: Iterable[RunRecord],
--- a/cyclamenscale/platform_http.py
+++ b/cyclamenscale/platform_http.py
@@ -24,6 +24,7 @@
     platform_adapter,
 )
 from cyclamenscale.settings import Settings
+from cyclamenscale.util.curl import new_curl
 
 
 @platform_adapter("http")
@@ -121,15 +122,12 @@
             if name.strip().lower() == "etag":
                 tags[0] = value.strip()
 
-        curl = pycurl.Curl()
         timeout_ms = int(self.settings.call_timeout_s * 1000)
+        url = f"http://{self.settings.address}{path}"
+        curl = new_curl(url, timeout_ms)
         try:
-            curl.setopt(pycurl.URL, f"http://{self.settings.address}{path}")
             curl.setopt(pycurl.CUSTOMREQUEST, method)
-            curl.setopt(pycurl.PROXY, "")
-            curl.setopt(pycurl.NOSIGNAL, 1)
             curl.setopt(pycurl.CONNECTTIMEOUT_MS, timeout_ms)
-            curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
             curl.setopt(pycurl.WRITEFUNCTION, out.write)
             if body:
                 curl.setopt(pycurl.POSTFIELDS, body)
--- a/cyclamenscale/ui/client.py
+++ b/cyclamenscale/ui/client.py
@@ -18,6 +18,7 @@
 )
 from cyclamenscale.settings_schema import is_address
 from cyclamenscale.util.codec import from_json, to_json
+from cyclamenscale.util.curl import new_curl
 from cyclamenscale.util.faults import from_faults
 
 ADDRESS_VARIABLE = "CYCLAMENSCALE_ENTRY"
@@ -111,14 +112,10 @@
         out.write(data)
         return None
 
-    curl = pycurl.Curl()
+    curl = new_curl(url, int(timeout_s * 1000))
     try:
-        curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
-        curl.setopt(pycurl.PROXY, "")
-        curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
-        curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         # libcurl repeats a request by itself on a reused connection.
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
