--- a/cyclamenscale/bench/brokers.py
+++ b/cyclamenscale/bench/brokers.py
@@ -6,7 +6,7 @@
 
 from cyclamenscale.bench.trace import Request
 from cyclamenscale.bench.world import World
-from cyclamenscale.messages import encode_frame
+from cyclamenscale.members.messages import encode_frame
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     ConfigView,
@@ -16,9 +16,9 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.scheduling import policy
+from cyclamenscale.requests.scheduling import policy
+from cyclamenscale.requests.slots import Slot, SlotBroker
 from cyclamenscale.settings import EntrySettings, Settings
-from cyclamenscale.slots import Slot, SlotBroker
 
 
 class EntryLink:
--- a/cyclamenscale/bench/capacity.py
+++ b/cyclamenscale/bench/capacity.py
@@ -10,11 +10,10 @@
 from random import Random
 from typing import NamedTuple
 
-from cyclamenscale.budget import BUDGET_PREFIX, BudgetRecord
-from cyclamenscale.claim_records import CLAIMED, ClaimRecord
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.directory import merge
-from cyclamenscale.messages import (
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.fleet.budget import BUDGET_PREFIX, BudgetRecord
+from cyclamenscale.fleet.ports import PlatformInstance
+from cyclamenscale.members.messages import (
     ConfigChange,
     Delta,
     DoneItem,
@@ -36,9 +35,10 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.platform import PlatformInstance
-from cyclamenscale.runtimes import RunTimes
-from cyclamenscale.scheduling import PoolScheduler
+from cyclamenscale.requests.claim_records import CLAIMED, ClaimRecord
+from cyclamenscale.requests.directory import merge
+from cyclamenscale.requests.runtimes import RunTimes
+from cyclamenscale.requests.scheduling import PoolScheduler
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import encode_record, to_json
--- a/cyclamenscale/bench/fleet.py
+++ b/cyclamenscale/bench/fleet.py
@@ -13,7 +13,7 @@
 )
 from cyclamenscale.bench.trace import DEPLOYMENTS
 from cyclamenscale.errors import NotFoundError
-from cyclamenscale.rollout import ROLLOUT_POLICIES
+from cyclamenscale.fleet.rollout import ROLLOUT_POLICIES
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.tables import table
 
--- a/cyclamenscale/bench/fleet_demand.py
+++ b/cyclamenscale/bench/fleet_demand.py
@@ -1,7 +1,7 @@
 """Buffer cost and moves: pools whose demand bursts and changes by the day.
 
 The pools' queues are fluid: work in slot-seconds, served second by second,
-short work first. The decisions are those of :mod:`cyclamenscale.moves`.
+short work first. The decisions are those of :mod:`cyclamenscale.fleet.moves`.
 """
 
 from math import pi, sin
@@ -16,9 +16,8 @@
     SHORT_SHARE,
     TURN_S,
 )
-from cyclamenscale.budget import MoveNote, allowed_out
-from cyclamenscale.model import RequestClass
-from cyclamenscale.moves import (
+from cyclamenscale.fleet.budget import MoveNote, allowed_out
+from cyclamenscale.fleet.moves import (
     Envelope,
     PoolState,
     patience_s,
@@ -26,6 +25,7 @@
     recent,
     wanted_instances,
 )
+from cyclamenscale.model import RequestClass
 from cyclamenscale.settings import FleetSettings
 
 DAY_S = 86400
--- a/cyclamenscale/bench/fleet_rollout.py
+++ b/cyclamenscale/bench/fleet_rollout.py
@@ -20,13 +20,14 @@
     Deployment,
     lognormal,
 )
-from cyclamenscale.budget import (
+from cyclamenscale.fleet.budget import (
     BUDGET_PREFIX,
     CONTROL_PREFIX,
     BudgetRecord,
     allowed_out,
 )
-from cyclamenscale.controller import PoolController
+from cyclamenscale.fleet.controller import PoolController
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CLASS_PREFIX,
@@ -37,12 +38,11 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.fleet import MemoryPlatform
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Put
+from cyclamenscale.store.port import Put
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/cyclamenscale/bench/placement.py
+++ b/cyclamenscale/bench/placement.py
@@ -16,13 +16,13 @@
     use_of,
     worker_at,
 )
-from cyclamenscale.job_records import JobSpec
-from cyclamenscale.placement import Spread, group_of, make_policy
-from cyclamenscale.platform import Resources
-from cyclamenscale.usage_history import UsageHistory
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.placing.job_records import JobSpec
+from cyclamenscale.placing.placement import Spread, group_of, make_policy
+from cyclamenscale.placing.usage_history import UsageHistory
+from cyclamenscale.placing.worker_index import WorkerIndex
 from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.tables import table
-from cyclamenscale.worker_index import WorkerIndex
 
 #: Letter 1: 23,000 workers in 90 pools.
 SIZES = (100, 1_000, 10_000, 23_000)
--- a/cyclamenscale/bench/placement_world.py
+++ b/cyclamenscale/bench/placement_world.py
@@ -3,18 +3,18 @@
 from random import Random
 from typing import NamedTuple
 
-from cyclamenscale.budget import CONTROL_PREFIX
-from cyclamenscale.job_records import JobSpec
-from cyclamenscale.jobs import JobBook
+from cyclamenscale.fleet.budget import CONTROL_PREFIX
+from cyclamenscale.fleet.ports import PlatformWorker, Resources, TaskOrder
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import INSTANCE_PREFIX, ConfigView, InstanceRecord
-from cyclamenscale.placer import PoolPlacer
-from cyclamenscale.platform import PlatformWorker, Resources, TaskOrder
+from cyclamenscale.placing.job_records import JobSpec
+from cyclamenscale.placing.jobs import JobBook
+from cyclamenscale.placing.placer import PoolPlacer
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
 from cyclamenscale.standin.workers import MemoryWorkers, Truth
-from cyclamenscale.store import Put
+from cyclamenscale.store.port import Put
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import encode_record
 
--- a/cyclamenscale/bench/policies.py
+++ b/cyclamenscale/bench/policies.py
@@ -11,7 +11,7 @@
 
 from cyclamenscale.bench.trace import Request
 from cyclamenscale.bench.world import World
-from cyclamenscale.scheduling import policy
+from cyclamenscale.requests.scheduling import policy
 from cyclamenscale.util.codec import pack
 from cyclamenscale.util.rendezvous import choose
 
--- a/cyclamenscale/bench/policy.py
+++ b/cyclamenscale/bench/policy.py
@@ -16,7 +16,7 @@
 )
 from cyclamenscale.bench.world import Fault, Outcome, World, heartbeat_rate
 from cyclamenscale.errors import NotFoundError
-from cyclamenscale.scheduling import find_policy
+from cyclamenscale.requests.scheduling import find_policy
 from cyclamenscale.util.quantiles import quantile
 from cyclamenscale.util.rendezvous import choose
 
--- a/cyclamenscale/bench/world.py
+++ b/cyclamenscale/bench/world.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from cyclamenscale.bench.trace import Deployment, Request
-from cyclamenscale.messages import Heartbeat, encode_frame
+from cyclamenscale.members.messages import Heartbeat, encode_frame
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import VirtualClock
 
--- /dev/null
+++ b/cyclamenscale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators configure, and how it comes into force."""
--- a/cyclamenscale/audit.py
+++ b/cyclamenscale/configuration/audit.py
@@ -24,7 +24,7 @@
     RequestClass,
 )
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Store
+from cyclamenscale.store.port import Store
 from cyclamenscale.util.codec import decode_record, from_json, to_plain
 
 #: Change records read by one call of the store.
--- a/cyclamenscale/operations.py
+++ b/cyclamenscale/configuration/operations.py
@@ -13,8 +13,15 @@
 from threading import Lock
 from typing import NamedTuple, NoReturn
 
-from cyclamenscale.barriers import Barriers
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.configuration.validation import (
+    PARSERS,
+    PREFIXES,
+    RECORD_TYPES,
+    Record,
+    check_removal,
+    is_name,
+)
 from cyclamenscale.errors import (
     ConflictError,
     FieldError,
@@ -26,7 +33,9 @@
     StoreError,
     StoreUnavailableError,
 )
-from cyclamenscale.freshness import Freshness
+from cyclamenscale.members.barriers import Barriers
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CHANGE_PREFIX,
@@ -34,9 +43,8 @@
     ChangeRecord,
     ConfigView,
 )
-from cyclamenscale.peers import PeerLink
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import (
+from cyclamenscale.store.port import (
     Compare,
     Delete,
     KeyValue,
@@ -46,14 +54,6 @@
 )
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
-from cyclamenscale.validation import (
-    PARSERS,
-    PREFIXES,
-    RECORD_TYPES,
-    Record,
-    check_removal,
-    is_name,
-)
 
 #: Tries of one change that lost a race for its pool, not for its record.
 POOL_TRIES = 8
--- a/cyclamenscale/operators.py
+++ b/cyclamenscale/configuration/operators.py
@@ -14,7 +14,8 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
-from cyclamenscale.audit import TEXT_LIMIT, AuditTrail
+from cyclamenscale.configuration.audit import TEXT_LIMIT, AuditTrail
+from cyclamenscale.configuration.validation import PREFIXES
 from cyclamenscale.errors import (
     ConflictError,
     FieldError,
@@ -30,7 +31,6 @@
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.codec import from_json, to_json, to_plain
 from cyclamenscale.util.faults import leaves, to_faults
-from cyclamenscale.validation import PREFIXES
 
 #: Field of the view and path of each kind of record.
 COLLECTIONS = {"class": "classes", "pool": "pools", "instance": "instances"}
--- a/cyclamenscale/reader.py
+++ b/cyclamenscale/configuration/reader.py
@@ -14,15 +14,15 @@
 
 from loguru import logger
 
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.errors import CompactedError, StoreError
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.limits import backoff_s
-from cyclamenscale.messages import ConfigChange
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.messages import ConfigChange
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import CONFIG_PREFIX, MEMBERS_KEY
+from cyclamenscale.requests.limits import backoff_s
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import KeyValue, Store, Watch
+from cyclamenscale.store.port import KeyValue, Store, Watch
 from cyclamenscale.util.clock import Clock
 
 #: Reads whose revision the watch has not reached yet.
--- a/cyclamenscale/configuration.py
+++ b/cyclamenscale/configuration/table.py
@@ -16,8 +16,9 @@
 
 from xxhash import xxh3_64_intdigest
 
+from cyclamenscale.configuration.validation import RECORD_TYPES
 from cyclamenscale.errors import FieldError
-from cyclamenscale.messages import ConfigChange
+from cyclamenscale.members.messages import ConfigChange
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CLASS_PREFIX,
@@ -29,7 +30,6 @@
 )
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.codec import decode_record
-from cyclamenscale.validation import RECORD_TYPES
 
 BUCKETS = 256
 
--- a/cyclamenscale/entry.py
+++ b/cyclamenscale/entry.py
@@ -11,31 +11,31 @@
 
 from loguru import logger
 
-import cyclamenscale.etcd  # noqa: F401  registers the store adapter
-import cyclamenscale.platform_http  # noqa: F401  registers the adapter
-from cyclamenscale.audit import AuditTrail
-from cyclamenscale.callers import CallerApp
-from cyclamenscale.claims import Claims
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.discovery import Discovery, LiveDirectory
-from cyclamenscale.dispatch import Dispatcher
-from cyclamenscale.endpoints import EndpointClient
+import cyclamenscale.fleet.http_platform  # noqa: F401  registers the adapter
+import cyclamenscale.store.etcd  # noqa: F401  registers the store adapter
+from cyclamenscale.configuration.audit import AuditTrail
+from cyclamenscale.configuration.operations import Operations
+from cyclamenscale.configuration.operators import OperatorsApp
+from cyclamenscale.configuration.reader import Reader
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.errors import CyclamenError
-from cyclamenscale.fleet import EntrySurroundings, build_fleet
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.members import Members, choose_incarnation
+from cyclamenscale.fleet.ports import open_platform
+from cyclamenscale.fleet.role import EntrySurroundings, build_fleet
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.members import Members, choose_incarnation
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.operations import Operations
-from cyclamenscale.operators import OperatorsApp
-from cyclamenscale.outliers import PoolsHealth
-from cyclamenscale.pacing import PacedStore
-from cyclamenscale.peers import PeerLink
-from cyclamenscale.platform import open_platform
-from cyclamenscale.reader import Reader
+from cyclamenscale.requests.callers import CallerApp
+from cyclamenscale.requests.claims import Claims
+from cyclamenscale.requests.discovery import Discovery, LiveDirectory
+from cyclamenscale.requests.dispatch import Dispatcher
+from cyclamenscale.requests.endpoints import EndpointClient
+from cyclamenscale.requests.outliers import PoolsHealth
+from cyclamenscale.requests.slots import SlotBroker
 from cyclamenscale.server import HttpServer
 from cyclamenscale.settings import Settings
-from cyclamenscale.slots import SlotBroker
-from cyclamenscale.store import open_store
+from cyclamenscale.store.pacing import PacedStore
+from cyclamenscale.store.port import open_store
 from cyclamenscale.supervisor import Supervisor
 from cyclamenscale.util.clock import monotonic
 
--- /dev/null
+++ b/cyclamenscale/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Pool control: budgets, drains, roll-outs and moves of instances."""
--- a/cyclamenscale/budget.py
+++ b/cyclamenscale/fleet/budget.py
@@ -1,6 +1,7 @@
 """Availability budget of a pool: which instances may be out of service.
 
-Pure decisions; :mod:`cyclamenscale.controller` reads and writes the records.
+Pure decisions; :mod:`cyclamenscale.fleet.controller` reads and writes the
+records.
 """
 
 from collections.abc import Iterable
--- a/cyclamenscale/control.py
+++ b/cyclamenscale/fleet/control.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Callable, Iterable
 
-from cyclamenscale.budget import CONTROL_PREFIX, ControlRecord
 from cyclamenscale.errors import LeaseLostError, StoreError
+from cyclamenscale.fleet.budget import CONTROL_PREFIX, ControlRecord
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Compare, Delete, Put, Store
+from cyclamenscale.store.port import Compare, Delete, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
 from cyclamenscale.util.rendezvous import choose
--- a/cyclamenscale/controller.py
+++ b/cyclamenscale/fleet/controller.py
@@ -6,7 +6,13 @@
 
 from random import Random
 
-from cyclamenscale.budget import (
+from cyclamenscale.errors import (
+    NotFoundError,
+    PlatformUnavailableError,
+    StaleFenceError,
+    StoreError,
+)
+from cyclamenscale.fleet.budget import (
     EXCLUDING,
     PROBING,
     REBOOTING,
@@ -16,7 +22,7 @@
     Outage,
     budget_use,
 )
-from cyclamenscale.drain import (
+from cyclamenscale.fleet.drain import (
     Advance,
     Facts,
     Finish,
@@ -24,12 +30,10 @@
     action_id,
     next_step,
 )
-from cyclamenscale.errors import (
-    NotFoundError,
-    PlatformUnavailableError,
-    StaleFenceError,
-    StoreError,
-)
+from cyclamenscale.fleet.moving import Mover
+from cyclamenscale.fleet.outages import LoadedBudget, Surroundings, load_budget
+from cyclamenscale.fleet.ports import Platform, PlatformInstance
+from cyclamenscale.fleet.rollout import ROLLOUT_POLICIES, Candidate, candidates
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CLASS_PREFIX,
@@ -37,12 +41,8 @@
     ConfigView,
     InstanceRecord,
 )
-from cyclamenscale.moving import Mover
-from cyclamenscale.outages import LoadedBudget, Surroundings, load_budget
-from cyclamenscale.platform import Platform, PlatformInstance
-from cyclamenscale.rollout import ROLLOUT_POLICIES, Candidate, candidates
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Compare, Put, Store
+from cyclamenscale.store.port import Compare, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/cyclamenscale/drain.py
+++ b/cyclamenscale/fleet/drain.py
@@ -8,7 +8,13 @@
 
 from typing import NamedTuple
 
-from cyclamenscale.budget import EXCLUDING, PROBING, REBOOTING, WAITING, Outage
+from cyclamenscale.fleet.budget import (
+    EXCLUDING,
+    PROBING,
+    REBOOTING,
+    WAITING,
+    Outage,
+)
 
 
 class Facts(NamedTuple):
--- a/cyclamenscale/platform_http.py
+++ b/cyclamenscale/fleet/http_platform.py
@@ -17,7 +17,7 @@
     PlatformUnavailableError,
     StaleFenceError,
 )
-from cyclamenscale.platform import (
+from cyclamenscale.fleet.ports import (
     InstanceStatus,
     Platform,
     PlatformInstance,
--- a/cyclamenscale/moves.py
+++ b/cyclamenscale/fleet/moves.py
@@ -1,9 +1,9 @@
 """Which instances should move between pools, from learned demand.
 
-Pure; :mod:`cyclamenscale.controller` carries moves out. A pool's controller
-learns the envelope of its demand and publishes how many instances the pool
-wants; donors with more than they want are matched with pools that have too
-few. Policies that size a pool are kept in a registry.
+Pure; :mod:`cyclamenscale.fleet.controller` carries moves out. A pool's
+controller learns the envelope of its demand and publishes how many
+instances the pool wants; donors with more than they want are matched with
+pools that have too few. Policies that size a pool are kept in a registry.
 """
 
 from collections import deque
@@ -15,7 +15,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from cyclamenscale.budget import MoveNote, allowed_out
+from cyclamenscale.fleet.budget import MoveNote, allowed_out
 from cyclamenscale.model import RequestClass
 from cyclamenscale.settings import FleetSettings
 
--- a/cyclamenscale/moving.py
+++ b/cyclamenscale/fleet/moving.py
@@ -1,13 +1,13 @@
 """Moves of instances between pools, for the pool controllers.
 
-:mod:`cyclamenscale.moves` decides; this module learns the demand, publishes
-how many instances a pool wants in its budget record, and writes the start of
-a move and the change of pools.
+The module :mod:`cyclamenscale.fleet.moves` decides; this one learns the
+demand, publishes how many instances a pool wants in its budget record, and
+writes the start of a move and the change of pools.
 """
 
 from random import Random
 
-from cyclamenscale.budget import (
+from cyclamenscale.fleet.budget import (
     BUDGET_PREFIX,
     EXCLUDING,
     REBOOTING,
@@ -17,15 +17,7 @@
     Outage,
     allowed_out,
 )
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.model import (
-    CLASS_PREFIX,
-    INSTANCE_PREFIX,
-    POOL_PREFIX,
-    InstanceRecord,
-    RequestClass,
-)
-from cyclamenscale.moves import (
+from cyclamenscale.fleet.moves import (
     Envelope,
     PoolState,
     patience_s,
@@ -33,15 +25,23 @@
     recent,
     wanted_instances,
 )
-from cyclamenscale.outages import (
+from cyclamenscale.fleet.outages import (
     LoadedBudget,
     Surroundings,
     decode_budget,
     load_budget,
 )
-from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.fleet.ports import PlatformInstance
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import (
+    CLASS_PREFIX,
+    INSTANCE_PREFIX,
+    POOL_PREFIX,
+    InstanceRecord,
+    RequestClass,
+)
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Compare, Put, Store
+from cyclamenscale.store.port import Compare, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/cyclamenscale/outages.py
+++ b/cyclamenscale/fleet/outages.py
@@ -3,10 +3,14 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
-from cyclamenscale.budget import BUDGET_PREFIX, CONTROL_PREFIX, BudgetRecord
+from cyclamenscale.fleet.budget import (
+    BUDGET_PREFIX,
+    CONTROL_PREFIX,
+    BudgetRecord,
+)
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.model import ConfigView
-from cyclamenscale.platform import PlatformInstance
-from cyclamenscale.store import Compare, KeyValue, Put, Store
+from cyclamenscale.store.port import Compare, KeyValue, Put, Store
 from cyclamenscale.util.codec import decode_record, encode_record
 
 
--- a/cyclamenscale/fleet.py
+++ b/cyclamenscale/fleet/role.py
@@ -1,29 +1,30 @@
 """Runs the pool controllers of an entry.
 
-Connects :mod:`cyclamenscale.control` and :mod:`cyclamenscale.controller`
-with the entry's configuration, barriers, peers and endpoints.
+Connects :mod:`cyclamenscale.fleet.control` and
+:mod:`cyclamenscale.fleet.controller` with the entry's configuration,
+barriers, peers and endpoints.
 """
 
 from threading import Event, Lock
 
 import pycurl
 
-from cyclamenscale.audit import AuditTrail
-from cyclamenscale.barriers import Barriers
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.control import ControlHolder
-from cyclamenscale.controller import PoolController
-from cyclamenscale.dispatch import Dispatcher
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.messages import InProgressReply, InProgressRequest
+from cyclamenscale.configuration.audit import AuditTrail
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.fleet.control import ControlHolder
+from cyclamenscale.fleet.controller import PoolController
+from cyclamenscale.fleet.ports import Platform, PlatformInstance
+from cyclamenscale.members.barriers import Barriers
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.messages import InProgressReply, InProgressRequest
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import ConfigView
-from cyclamenscale.outliers import PoolsHealth
-from cyclamenscale.peers import PeerLink
-from cyclamenscale.platform import Platform, PlatformInstance
+from cyclamenscale.requests.dispatch import Dispatcher
+from cyclamenscale.requests.outliers import PoolsHealth
+from cyclamenscale.requests.slot_role import SlotRole
+from cyclamenscale.requests.slots import SlotBroker
 from cyclamenscale.settings import Settings
-from cyclamenscale.slot_role import SlotRole
-from cyclamenscale.slots import SlotBroker
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.curl import new_curl
 from cyclamenscale.util.rendezvous import choose
--- a/cyclamenscale/rollout.py
+++ b/cyclamenscale/fleet/rollout.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from cyclamenscale.budget import BudgetRecord, BudgetUse
+from cyclamenscale.fleet.budget import BudgetRecord, BudgetUse
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.model import InstanceRecord, PoolRecord
-from cyclamenscale.platform import PlatformInstance
 
 #: Every instance is maintained once in 4 weeks (letter 1).
 MAINTENANCE_PERIOD_S = 28 * 86400.0
--- a/cyclamenscale/local.py
+++ b/cyclamenscale/local.py
@@ -14,9 +14,9 @@
 from typing import NamedTuple
 
 from cyclamenscale.entry import Entry
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.local_calls import CallResult, call
 from cyclamenscale.local_report import Report, account
-from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.endpoint import StandinEndpoint
 from cyclamenscale.standin.platform import PlatformServer
--- /dev/null
+++ b/cyclamenscale/members/__init__.py
@@ -0,0 +1,1 @@
+"""The entries of the system: member list, links and messages."""
--- a/cyclamenscale/barriers.py
+++ b/cyclamenscale/members/barriers.py
@@ -4,12 +4,12 @@
 from collections import OrderedDict
 from threading import Condition
 
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.errors import OutcomeUnknownError
-from cyclamenscale.freshness import Barrier, Freshness
-from cyclamenscale.messages import ChangeAck, ChangeNotice
+from cyclamenscale.members.freshness import Barrier, Freshness
+from cyclamenscale.members.messages import ChangeAck, ChangeNotice
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.peers import PeerLink
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
--- a/cyclamenscale/freshness.py
+++ b/cyclamenscale/members/freshness.py
@@ -13,7 +13,7 @@
 from threading import Lock
 from typing import NamedTuple
 
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.model import ConfigView, MemberList, MemberRecord
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
--- a/cyclamenscale/members.py
+++ b/cyclamenscale/members/members.py
@@ -20,6 +20,11 @@
 
 from loguru import logger
 
+from cyclamenscale.configuration.operations import (
+    Accepted,
+    Operations,
+    revision_of,
+)
 from cyclamenscale.errors import (
     ConflictError,
     NotAcceptedError,
@@ -28,8 +33,7 @@
     StoreAnswerLostError,
     StoreError,
 )
-from cyclamenscale.freshness import Freshness, find_member
-from cyclamenscale.limits import backoff_s
+from cyclamenscale.members.freshness import Freshness, find_member
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CHANGE_PREFIX,
@@ -38,9 +42,9 @@
     MemberList,
     MemberRecord,
 )
-from cyclamenscale.operations import Accepted, Operations, revision_of
+from cyclamenscale.requests.limits import backoff_s
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Compare, KeyValue, Put, Store
+from cyclamenscale.store.port import Compare, KeyValue, Put, Store
 from cyclamenscale.util.codec import decode_record, encode_record
 
 #: Tries of one change that loses races against other members' changes.
--- a/cyclamenscale/peers.py
+++ b/cyclamenscale/members/peers.py
@@ -17,18 +17,18 @@
 import zmq
 from loguru import logger
 
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.errors import FrameError
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.membership import Membership
-from cyclamenscale.messages import (
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.membership import Membership
+from cyclamenscale.members.messages import (
     Heartbeat,
     decode_frame,
     encode_frame,
 )
+from cyclamenscale.members.sync import ConfigSync
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
-from cyclamenscale.sync import ConfigSync
 from cyclamenscale.util.clock import Clock
 
 #: Messages that wait for the link's thread.
@@ -123,7 +123,7 @@
     def on(self, kind: type, handler: Handler) -> None:
         """Register a handler, called in the link's thread.
 
-        :param kind: message type from :mod:`cyclamenscale.messages`.
+        :param kind: message type from :mod:`cyclamenscale.members.messages`.
         :param handler: must not block; its failures are counted.
         """
         self.handlers.setdefault(kind, []).append(handler)
--- a/cyclamenscale/sync.py
+++ b/cyclamenscale/members/sync.py
@@ -7,9 +7,9 @@
 
 from typing import NamedTuple
 
-from cyclamenscale.configuration import BUCKETS, ConfigTable
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.messages import (
+from cyclamenscale.configuration.table import BUCKETS, ConfigTable
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.messages import (
     Bucket,
     BucketRequest,
     ChangeAck,
@@ -59,7 +59,7 @@
     :param clock: monotonic seconds.
     :param table: this entry's configuration.
     :param freshness: tells whether this entry is recovering.
-    :param link: the :class:`cyclamenscale.peers.PeerLink`.
+    :param link: the :class:`cyclamenscale.members.peers.PeerLink`.
     """
 
     def __init__(
--- a/cyclamenscale/model.py
+++ b/cyclamenscale/model.py
@@ -50,7 +50,8 @@
     """An instance (an executor with slots) and the one pool it belongs to.
 
     Its address, data centre, rack and slots come from the platform's list
-    (:class:`cyclamenscale.platform.PlatformInstance`), never from operators.
+    (:class:`cyclamenscale.fleet.ports.PlatformInstance`), never from
+    operators.
 
     :ivar name: unique name, the same as in the platform's list.
     :ivar pool: pool it belongs to.
--- /dev/null
+++ b/cyclamenscale/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of jobs with quotas on workers, as a library."""
--- a/cyclamenscale/job_records.py
+++ b/cyclamenscale/placing/job_records.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cyclamenscale.errors import JobStateError
-from cyclamenscale.platform import Resources
+from cyclamenscale.fleet.ports import Resources
 
 JOB_PREFIX = "job/"
 QUOTA_PREFIX = "quota/"
--- a/cyclamenscale/jobs.py
+++ b/cyclamenscale/placing/jobs.py
@@ -8,14 +8,16 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cyclamenscale.budget import CONTROL_PREFIX
 from cyclamenscale.errors import (
     ConflictError,
     ControlLostError,
     OutcomeUnknownError,
     StoreAnswerLostError,
 )
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.budget import CONTROL_PREFIX
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.placing.job_records import (
     CANCELLED,
     ENDED,
     JOB_PREFIX,
@@ -29,9 +31,7 @@
     job_key,
     quota_key,
 )
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.platform import Resources
-from cyclamenscale.store import Compare, Delete, Put, Store
+from cyclamenscale.store.port import Compare, Delete, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/cyclamenscale/overload.py
+++ b/cyclamenscale/placing/overload.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from cyclamenscale.job_records import JobSpec
-from cyclamenscale.platform import Resources, TaskReport
+from cyclamenscale.fleet.ports import Resources, TaskReport
+from cyclamenscale.placing.job_records import JobSpec
 
 CHECKPOINT = "checkpoint"
 THROTTLE = "throttle"
--- a/cyclamenscale/placement.py
+++ b/cyclamenscale/placing/placement.py
@@ -1,6 +1,7 @@
 """Which worker runs a job's task, and what to do with a full one.
 
-Pure decisions; :mod:`cyclamenscale.placer` reads and writes the records.
+Pure decisions; :mod:`cyclamenscale.placing.placer` reads and writes the
+records.
 Policies register under a name with :func:`placement_policy`.
 """
 
@@ -10,10 +11,10 @@
 from typing import NamedTuple
 
 from cyclamenscale.errors import FieldError, JobImpossibleError
-from cyclamenscale.job_records import JobRecord, JobSpec
-from cyclamenscale.platform import Resources
-from cyclamenscale.usage_history import UsageHistory
-from cyclamenscale.worker_index import IndexedWorker, WorkerIndex
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.placing.job_records import JobRecord, JobSpec
+from cyclamenscale.placing.usage_history import UsageHistory
+from cyclamenscale.placing.worker_index import IndexedWorker, WorkerIndex
 
 #: Guards sums of allocations against rounding.
 ROUNDING_SLACK = 1e-6
--- a/cyclamenscale/placer.py
+++ b/cyclamenscale/placing/placer.py
@@ -7,8 +7,6 @@
 
 from random import Random
 
-from cyclamenscale.budget import CONTROL_PREFIX
-from cyclamenscale.controller import Surroundings
 from cyclamenscale.errors import (
     ControlLostError,
     JobImpossibleError,
@@ -17,7 +15,12 @@
     StoreAnswerLostError,
     StoreError,
 )
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.budget import CONTROL_PREFIX
+from cyclamenscale.fleet.controller import Surroundings
+from cyclamenscale.fleet.ports import Resources, WorkerPlatform
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import INSTANCE_PREFIX
+from cyclamenscale.placing.job_records import (
     CHECKPOINTED,
     CLAIMED,
     DONE,
@@ -29,7 +32,7 @@
     TaskRecord,
     task_id,
 )
-from cyclamenscale.jobs import (
+from cyclamenscale.placing.jobs import (
     Change,
     JobBook,
     StoredJob,
@@ -37,19 +40,16 @@
     groups,
     waiting,
 )
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.model import INSTANCE_PREFIX
-from cyclamenscale.placement import (
+from cyclamenscale.placing.placement import (
     Placement,
     by_urgency,
     quota_admits,
 )
-from cyclamenscale.placer_state import PoolState, Seen
-from cyclamenscale.platform import Resources, WorkerPlatform
+from cyclamenscale.placing.placer_state import PoolState, Seen
+from cyclamenscale.placing.task_actions import TaskActions
+from cyclamenscale.placing.task_states import TaskFollower
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Compare, Put, Store
-from cyclamenscale.task_actions import TaskActions
-from cyclamenscale.task_states import TaskFollower
+from cyclamenscale.store.port import Compare, Put, Store
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.codec import encode_record
 
--- a/cyclamenscale/placer_state.py
+++ b/cyclamenscale/placing/placer_state.py
@@ -9,21 +9,31 @@
 from random import Random
 from typing import NamedTuple
 
-from cyclamenscale.job_records import CLAIMED, RUNNING, JobRecord, JobSpec
-from cyclamenscale.jobs import PoolJobs, allocations
-from cyclamenscale.model import InstanceRecord
-from cyclamenscale.overload import LoadedTask, overloaded, total_used
-from cyclamenscale.placement import Placement, Spread, group_of, make_policy
-from cyclamenscale.platform import (
+from cyclamenscale.fleet.ports import (
     PlatformWorker,
     Resources,
     TaskReport,
     WorkerReport,
 )
-from cyclamenscale.quarantine import Failures
+from cyclamenscale.model import InstanceRecord
+from cyclamenscale.placing.job_records import (
+    CLAIMED,
+    RUNNING,
+    JobRecord,
+    JobSpec,
+)
+from cyclamenscale.placing.jobs import PoolJobs, allocations
+from cyclamenscale.placing.overload import LoadedTask, overloaded, total_used
+from cyclamenscale.placing.placement import (
+    Placement,
+    Spread,
+    group_of,
+    make_policy,
+)
+from cyclamenscale.placing.quarantine import Failures
+from cyclamenscale.placing.usage_history import UsageHistory
+from cyclamenscale.placing.worker_index import WorkerIndex
 from cyclamenscale.settings import Settings
-from cyclamenscale.usage_history import UsageHistory
-from cyclamenscale.worker_index import WorkerIndex
 
 #: Stopped tasks that are remembered, so that lagging reports of them do not
 #: cause a second stop.
--- a/cyclamenscale/task_actions.py
+++ b/cyclamenscale/placing/task_actions.py
@@ -9,9 +9,10 @@
     PlatformUnavailableError,
     TaskRefusedError,
 )
-from cyclamenscale.job_records import JobRecord
+from cyclamenscale.fleet.ports import TaskOrder, WorkerPlatform
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.overload import (
+from cyclamenscale.placing.job_records import JobRecord
+from cyclamenscale.placing.overload import (
     CHECKPOINT,
     STOP,
     Relief,
@@ -20,8 +21,7 @@
     relieve,
     total_used,
 )
-from cyclamenscale.placer_state import PoolState, Seen
-from cyclamenscale.platform import TaskOrder, WorkerPlatform
+from cyclamenscale.placing.placer_state import PoolState, Seen
 
 #: Renewals in the time of a task's lease.
 RENEWALS_PER_LEASE = 10
--- a/cyclamenscale/task_states.py
+++ b/cyclamenscale/placing/task_states.py
@@ -1,6 +1,8 @@
 """Follows the tasks of a pool: what reports and answers mean for records."""
 
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.ports import TaskReport
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.placing.job_records import (
     CHECKPOINTED,
     CLAIMED,
     DONE,
@@ -13,11 +15,9 @@
     JobRecord,
     TaskRecord,
 )
-from cyclamenscale.jobs import Change
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.placer_state import PoolState, Seen
-from cyclamenscale.platform import TaskReport
-from cyclamenscale.task_actions import STARTED, TaskActions
+from cyclamenscale.placing.jobs import Change
+from cyclamenscale.placing.placer_state import PoolState, Seen
+from cyclamenscale.placing.task_actions import STARTED, TaskActions
 
 
 class TaskFollower:
--- a/cyclamenscale/usage_history.py
+++ b/cyclamenscale/placing/usage_history.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
-from cyclamenscale.platform import Resources
+from cyclamenscale.fleet.ports import Resources
 
 #: Samples of one team and kind; 64 give a p90 from the six largest.
 SAMPLES_LIMIT = 64
--- a/cyclamenscale/worker_index.py
+++ b/cyclamenscale/placing/worker_index.py
@@ -12,7 +12,7 @@
 
 from sortedcontainers import SortedDict
 
-from cyclamenscale.platform import Resources
+from cyclamenscale.fleet.ports import Resources
 
 #: Candidates that a search returns. Two would balance load; more find a
 #: data centre without tasks of the same group among 43.
--- a/cyclamenscale/admission.py
+++ b/cyclamenscale/requests/admission.py
@@ -5,9 +5,9 @@
 
 from xxhash import xxh3_128_hexdigest
 
-from cyclamenscale.endpoints import Answer, Headers, header
 from cyclamenscale.errors import BadRequestError, RequestError
 from cyclamenscale.model import ConfigView, RequestClass
+from cyclamenscale.requests.endpoints import Answer, Headers, header
 
 KEY_LIMIT = 255
 DEADLINE_LIMIT_MS = 7 * 24 * 3600 * 1000
--- a/cyclamenscale/attempts.py
+++ b/cyclamenscale/requests/attempts.py
@@ -9,8 +9,6 @@
 from threading import Event
 from typing import Protocol
 
-from cyclamenscale.admission import CallerRequest, Demand
-from cyclamenscale.endpoints import Answer, EndpointClient, EndpointRequest
 from cyclamenscale.errors import (
     EndpointError,
     EndpointRefusedError,
@@ -18,12 +16,18 @@
     OutcomeNotKnownError,
     RequestError,
 )
-from cyclamenscale.gate import RETRY_AFTER_S, Gate
-from cyclamenscale.limits import RetryBudget, backoff_s
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import Endpoint
-from cyclamenscale.outliers import PoolsHealth
-from cyclamenscale.recent import Trace
+from cyclamenscale.requests.admission import CallerRequest, Demand
+from cyclamenscale.requests.endpoints import (
+    Answer,
+    EndpointClient,
+    EndpointRequest,
+)
+from cyclamenscale.requests.gate import RETRY_AFTER_S, Gate
+from cyclamenscale.requests.limits import RetryBudget, backoff_s
+from cyclamenscale.requests.outliers import PoolsHealth
+from cyclamenscale.requests.recent import Trace
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
@@ -88,7 +92,8 @@
 class Attempts:
     """Sends requests to endpoints, with retries; called from many threads.
 
-    The parameters are those of :class:`cyclamenscale.dispatch.Dispatcher`.
+    The parameters are those of
+    :class:`cyclamenscale.requests.dispatch.Dispatcher`.
     """
 
     def __init__(
--- a/cyclamenscale/callers.py
+++ b/cyclamenscale/requests/callers.py
@@ -8,9 +8,6 @@
 from werkzeug.http import HTTP_STATUS_CODES
 from werkzeug.wrappers import Request
 
-from cyclamenscale.admission import CallerAnswer, CallerRequest
-from cyclamenscale.dispatch import Dispatcher, FreshnessPort
-from cyclamenscale.endpoints import Answer, Headers
 from cyclamenscale.errors import (
     BadRequestError,
     KeyPendingError,
@@ -19,6 +16,9 @@
     RequestError,
 )
 from cyclamenscale.metrics import Metrics
+from cyclamenscale.requests.admission import CallerAnswer, CallerRequest
+from cyclamenscale.requests.dispatch import Dispatcher, FreshnessPort
+from cyclamenscale.requests.endpoints import Answer, Headers
 from cyclamenscale.server import GONE_KEY
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.codec import to_json
--- a/cyclamenscale/claim_queue.py
+++ b/cyclamenscale/requests/claim_queue.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
-from cyclamenscale.claim_records import ClaimRecord, Step
+from cyclamenscale.requests.claim_records import ClaimRecord, Step
 from cyclamenscale.util.clock import Clock
 
 
--- a/cyclamenscale/claim_records.py
+++ b/cyclamenscale/requests/claim_records.py
@@ -18,7 +18,7 @@
 
 from cyclamenscale.errors import FieldError
 from cyclamenscale.model import CLAIM_PREFIX
-from cyclamenscale.store import Compare, KeyValue, Put
+from cyclamenscale.store.port import Compare, KeyValue, Put
 from cyclamenscale.util.codec import decode_record, encode_record, pack
 
 CLAIMED = "claimed"
--- a/cyclamenscale/claims.py
+++ b/cyclamenscale/requests/claims.py
@@ -7,8 +7,15 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from threading import Condition, Event
 
-from cyclamenscale.claim_queue import KnownOutcomes, StepQueue
-from cyclamenscale.claim_records import (
+from cyclamenscale.errors import (
+    LeaseLostError,
+    StoreAnswerLostError,
+    StoreError,
+    StoreUnavailableError,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.requests.claim_queue import KnownOutcomes, StepQueue
+from cyclamenscale.requests.claim_records import (
     ABANDONED,
     CLAIMED,
     DONE,
@@ -29,16 +36,9 @@
     success,
     transaction,
 )
-from cyclamenscale.errors import (
-    LeaseLostError,
-    StoreAnswerLostError,
-    StoreError,
-    StoreUnavailableError,
-)
-from cyclamenscale.limits import backoff_s
-from cyclamenscale.metrics import Metrics
+from cyclamenscale.requests.limits import backoff_s
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import Store
+from cyclamenscale.store.port import Store
 from cyclamenscale.util.clock import Clock, monotonic
 
 QUEUE_LIMIT = 4096
--- a/cyclamenscale/directory.py
+++ b/cyclamenscale/requests/directory.py
@@ -8,8 +8,8 @@
 
 from typing import NamedTuple
 
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.model import ConfigView, Endpoint
-from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.util.clock import Clock
 
 
--- a/cyclamenscale/discovery.py
+++ b/cyclamenscale/requests/discovery.py
@@ -8,16 +8,16 @@
 
 from loguru import logger
 
-from cyclamenscale.audit import AuditTrail
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.directory import Directory
+from cyclamenscale.configuration.audit import AuditTrail
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.errors import PlatformUnavailableError
-from cyclamenscale.messages import EndpointSign
+from cyclamenscale.fleet.ports import Platform
+from cyclamenscale.members.messages import EndpointSign
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import Endpoint
-from cyclamenscale.outliers import HealthSign, PoolsHealth
-from cyclamenscale.peers import PeerLink
-from cyclamenscale.platform import Platform
+from cyclamenscale.requests.directory import Directory
+from cyclamenscale.requests.outliers import HealthSign, PoolsHealth
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
--- a/cyclamenscale/dispatch.py
+++ b/cyclamenscale/requests/dispatch.py
@@ -5,14 +5,6 @@
 
 from loguru import logger
 
-from cyclamenscale.admission import (
-    CallerAnswer,
-    CallerRequest,
-    check_request,
-)
-from cyclamenscale.attempts import Attempts, FreshnessPort, Progress
-from cyclamenscale.claim_records import RecordedOutcome
-from cyclamenscale.endpoints import Answer, EndpointClient
 from cyclamenscale.errors import (
     KeyPendingError,
     KeyReusedError,
@@ -22,10 +14,18 @@
     StoreError,
     StoreUnavailableError,
 )
-from cyclamenscale.gate import RETRY_AFTER_S, Gate
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.outliers import PoolsHealth
-from cyclamenscale.recent import RecentRequests
+from cyclamenscale.requests.admission import (
+    CallerAnswer,
+    CallerRequest,
+    check_request,
+)
+from cyclamenscale.requests.attempts import Attempts, FreshnessPort, Progress
+from cyclamenscale.requests.claim_records import RecordedOutcome
+from cyclamenscale.requests.endpoints import Answer, EndpointClient
+from cyclamenscale.requests.gate import RETRY_AFTER_S, Gate
+from cyclamenscale.requests.outliers import PoolsHealth
+from cyclamenscale.requests.recent import RecentRequests
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
--- a/cyclamenscale/endpoint_choice.py
+++ b/cyclamenscale/requests/endpoint_choice.py
@@ -2,9 +2,9 @@
 
 from random import Random
 
-from cyclamenscale.occupancy import Occupancy
-from cyclamenscale.queues import ClassQueue, Spot, Waiting
-from cyclamenscale.runtimes import Quantiles, RunTimes
+from cyclamenscale.requests.occupancy import Occupancy
+from cyclamenscale.requests.queues import ClassQueue, Spot, Waiting
+from cyclamenscale.requests.runtimes import Quantiles, RunTimes
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
--- a/cyclamenscale/endpoints.py
+++ b/cyclamenscale/requests/endpoints.py
@@ -10,10 +10,10 @@
 
 import pycurl
 
-from cyclamenscale.channel import Channel, Exchange
 from cyclamenscale.errors import EndpointError, EndpointRefusedError
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import Endpoint
+from cyclamenscale.requests.channel import Channel, Exchange
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock, monotonic
 
--- a/cyclamenscale/gate.py
+++ b/cyclamenscale/requests/gate.py
@@ -6,7 +6,7 @@
 
 from cyclamenscale.errors import NotRunError
 from cyclamenscale.model import ConfigView, RequestClass
-from cyclamenscale.outliers import EndpointHealth
+from cyclamenscale.requests.outliers import EndpointHealth
 from cyclamenscale.settings import Settings
 
 # The burst of one pool, five times its mean load, must leave threads for
--- a/cyclamenscale/occupancy.py
+++ b/cyclamenscale/requests/occupancy.py
@@ -2,8 +2,8 @@
 
 from heapq import heapify, heappop, heappush
 
-from cyclamenscale.queues import ClassQueue, Key, Running, Spot
-from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.requests.queues import ClassQueue, Key, Running, Spot
+from cyclamenscale.requests.runtimes import RunTimes
 from cyclamenscale.util.clock import Clock
 
 #: Target assumed for a running request of a class that is not configured.
--- a/cyclamenscale/outliers.py
+++ b/cyclamenscale/requests/outliers.py
@@ -41,7 +41,7 @@
 
     :ivar endpoint: name of the instance.
     :ivar sign: ``leaving``, ``failed`` or ``back``, as in
-        :class:`cyclamenscale.messages.EndpointSign`.
+        :class:`cyclamenscale.members.messages.EndpointSign`.
     """
 
     endpoint: str
--- a/cyclamenscale/queues.py
+++ b/cyclamenscale/requests/queues.py
@@ -6,7 +6,7 @@
 from operator import itemgetter
 from typing import NamedTuple
 
-from cyclamenscale.messages import WantItem
+from cyclamenscale.members.messages import WantItem
 
 
 class Key(NamedTuple):
--- a/cyclamenscale/scheduling.py
+++ b/cyclamenscale/requests/scheduling.py
@@ -14,12 +14,17 @@
 from collections.abc import Callable
 from random import Random
 
-from cyclamenscale.endpoint_choice import TRIP_MS, EndpointChoice
 from cyclamenscale.errors import NotFoundError
-from cyclamenscale.messages import DoneItem, GrantItem, HoldingItem, WantItem
+from cyclamenscale.members.messages import (
+    DoneItem,
+    GrantItem,
+    HoldingItem,
+    WantItem,
+)
 from cyclamenscale.model import Endpoint
-from cyclamenscale.queues import ClassQueue, Key, Spot, Waiting
-from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.requests.endpoint_choice import TRIP_MS, EndpointChoice
+from cyclamenscale.requests.queues import ClassQueue, Key, Spot, Waiting
+from cyclamenscale.requests.runtimes import RunTimes
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import Clock
 
--- a/cyclamenscale/slot_client.py
+++ b/cyclamenscale/requests/slot_client.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cyclamenscale.messages import (
+from cyclamenscale.members.messages import (
     DoneItem,
     GrantBatch,
     GrantItem,
@@ -18,11 +18,11 @@
     WantItem,
 )
 from cyclamenscale.model import Endpoint
-from cyclamenscale.queues import ClassQueue, Key, Waiting
-from cyclamenscale.runtimes import RunTimes
-from cyclamenscale.scheduling import PoolScheduler
+from cyclamenscale.requests.queues import ClassQueue, Key, Waiting
+from cyclamenscale.requests.runtimes import RunTimes
+from cyclamenscale.requests.scheduling import PoolScheduler
+from cyclamenscale.requests.slot_handover import Ask, HandOver, Hold
 from cyclamenscale.settings import Settings
-from cyclamenscale.slot_handover import Ask, HandOver, Hold
 from cyclamenscale.util.clock import Clock
 
 #: Share of ``fallback_s`` after which an entry whose requests wait, and that
--- a/cyclamenscale/slot_handover.py
+++ b/cyclamenscale/requests/slot_handover.py
@@ -10,8 +10,8 @@
 
 from typing import NamedTuple
 
-from cyclamenscale.messages import DoneItem, GrantItem
-from cyclamenscale.queues import ClassQueue, Key
+from cyclamenscale.members.messages import DoneItem, GrantItem
+from cyclamenscale.requests.queues import ClassQueue, Key
 from cyclamenscale.util.clock import Clock
 
 #: How long the reported slack is used. Without new grants in this time the
--- a/cyclamenscale/slot_role.py
+++ b/cyclamenscale/requests/slot_role.py
@@ -2,11 +2,11 @@
 
 from random import Random
 
-from cyclamenscale.messages import GrantBatch, GrantItem, SlotBatch
-from cyclamenscale.runtimes import RunTimes
-from cyclamenscale.scheduling import PoolScheduler
+from cyclamenscale.members.messages import GrantBatch, GrantItem, SlotBatch
+from cyclamenscale.requests.runtimes import RunTimes
+from cyclamenscale.requests.scheduling import PoolScheduler
+from cyclamenscale.requests.slot_client import PoolView
 from cyclamenscale.settings import Settings
-from cyclamenscale.slot_client import PoolView
 from cyclamenscale.util.clock import Clock
 
 #: Share of ``fallback_s`` within which an entry whose requests wait gets at
--- a/cyclamenscale/slot_wait.py
+++ b/cyclamenscale/requests/slot_wait.py
@@ -4,7 +4,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
-from cyclamenscale.messages import GrantItem
+from cyclamenscale.members.messages import GrantItem
 from cyclamenscale.util.clock import monotonic
 
 #: How often a waiting request checks whether its caller has hung up.
--- a/cyclamenscale/slots.py
+++ b/cyclamenscale/requests/slots.py
@@ -1,9 +1,10 @@
 """Slots of all pools at one entry: threads and messages.
 
-The decisions are made by :class:`cyclamenscale.slot_client.SlotClient` and
-:class:`cyclamenscale.slot_role.SlotRole`; here calling threads wait for them
-and batches go over the peer link. The scheduler of a pool is the entry that
-rendezvous hashing of the pool's name chooses among the live ones.
+The decisions are made by
+:class:`cyclamenscale.requests.slot_client.SlotClient` and
+:class:`cyclamenscale.requests.slot_role.SlotRole`; here calling threads wait
+for them and batches go over the peer link. The scheduler of a pool is the
+entry that rendezvous hashing of the pool's name chooses among the live ones.
 """
 
 from collections.abc import Callable, Iterable
@@ -13,14 +14,14 @@
 from typing import NamedTuple, Protocol
 
 from cyclamenscale.errors import FieldError, NotRunError
-from cyclamenscale.messages import GrantBatch, GrantItem, SlotBatch
+from cyclamenscale.members.messages import GrantBatch, GrantItem, SlotBatch
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import ConfigView, Endpoint, RequestClass
-from cyclamenscale.runtimes import Quantiles, RunTimes
+from cyclamenscale.requests.runtimes import Quantiles, RunTimes
+from cyclamenscale.requests.slot_client import PoolView, SlotClient
+from cyclamenscale.requests.slot_role import SlotRole
+from cyclamenscale.requests.slot_wait import wait_for_grant
 from cyclamenscale.settings import Settings
-from cyclamenscale.slot_client import PoolView, SlotClient
-from cyclamenscale.slot_role import SlotRole
-from cyclamenscale.slot_wait import wait_for_grant
 from cyclamenscale.util.clock import Clock, monotonic
 from cyclamenscale.util.rendezvous import choose
 
@@ -188,7 +189,7 @@
         """Queue a request without waiting.
 
         :returns: its number, and the future of its
-            :class:`cyclamenscale.messages.GrantItem`.
+            :class:`cyclamenscale.members.messages.GrantItem`.
         """
         future: Future = Future()
         with self.lock:
--- a/cyclamenscale/standin/fleet.py
+++ b/cyclamenscale/standin/fleet.py
@@ -9,7 +9,11 @@
     PlatformUnavailableError,
     StaleFenceError,
 )
-from cyclamenscale.platform import InstanceStatus, Platform, PlatformInstance
+from cyclamenscale.fleet.ports import (
+    InstanceStatus,
+    Platform,
+    PlatformInstance,
+)
 from cyclamenscale.util.clock import Clock
 
 
--- a/cyclamenscale/standin/memory.py
+++ b/cyclamenscale/standin/memory.py
@@ -26,7 +26,7 @@
     StoreFaults,
     StoreState,
 )
-from cyclamenscale.store import (
+from cyclamenscale.store.port import (
     Compare,
     Delete,
     KeyValue,
--- a/cyclamenscale/standin/platform.py
+++ b/cyclamenscale/standin/platform.py
@@ -11,7 +11,7 @@
     PlatformUnavailableError,
     StaleFenceError,
 )
-from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.standin.fleet import MemoryPlatform
 from cyclamenscale.standin.http import HttpServer, dropped, json_response
 from cyclamenscale.util.clock import Clock, monotonic
--- a/cyclamenscale/standin/store.py
+++ b/cyclamenscale/standin/store.py
@@ -1,7 +1,7 @@
 """Stand-in of the platform's key-value service over HTTP.
 
 It serves the subset of the published JSON gateway of etcd v3 that
-:mod:`cyclamenscale.etcd` uses, and makes faults on command.
+:mod:`cyclamenscale.store.etcd` uses, and makes faults on command.
 """
 
 import time
--- a/cyclamenscale/standin/workers.py
+++ b/cyclamenscale/standin/workers.py
@@ -16,7 +16,7 @@
     StaleFenceError,
     TaskRefusedError,
 )
-from cyclamenscale.platform import (
+from cyclamenscale.fleet.ports import (
     PlatformWorker,
     Resources,
     TaskOrder,
--- a/cyclamenscale/etcd.py
+++ b/cyclamenscale/store/etcd.py
@@ -20,7 +20,9 @@
     StoreError,
     StoreUnavailableError,
 )
-from cyclamenscale.etcd_json import (
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.store.etcd_json import (
     decode_body,
     decode_key,
     encode,
@@ -28,10 +30,8 @@
     encode_write,
     revision_of,
 )
-from cyclamenscale.etcd_watch import EtcdWatch, prepare
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.settings import Settings
-from cyclamenscale.store import (
+from cyclamenscale.store.etcd_watch import EtcdWatch, prepare
+from cyclamenscale.store.port import (
     Compare,
     Delete,
     KeyValue,
--- a/cyclamenscale/etcd_json.py
+++ b/cyclamenscale/store/etcd_json.py
@@ -12,7 +12,7 @@
     FieldError,
     StoreUnavailableError,
 )
-from cyclamenscale.store import Compare, Delete, KeyValue, Put, WatchEvent
+from cyclamenscale.store.port import Compare, Delete, KeyValue, Put, WatchEvent
 from cyclamenscale.util.codec import from_json
 
 
--- a/cyclamenscale/etcd_watch.py
+++ b/cyclamenscale/store/etcd_watch.py
@@ -7,13 +7,13 @@
 import pycurl
 
 from cyclamenscale.errors import StoreUnavailableError
-from cyclamenscale.etcd_json import (
+from cyclamenscale.settings import Settings
+from cyclamenscale.store.etcd_json import (
     decode_body,
     decode_watch_message,
     encode,
 )
-from cyclamenscale.settings import Settings
-from cyclamenscale.store import Watch, WatchEvent
+from cyclamenscale.store.port import Watch, WatchEvent
 from cyclamenscale.util.codec import to_json
 from cyclamenscale.util.keys import prefix_end
 
--- a/cyclamenscale/pacing.py
+++ b/cyclamenscale/store/pacing.py
@@ -9,10 +9,10 @@
 from threading import Event
 
 from cyclamenscale.errors import StoreUnavailableError
-from cyclamenscale.limits import TokenRate
 from cyclamenscale.metrics import Metrics
+from cyclamenscale.requests.limits import TokenRate
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import (
+from cyclamenscale.store.port import (
     Compare,
     Delete,
     KeyValue,
--- a/test/test_audit.py
+++ b/test/configuration/test_audit.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cyclamenscale.audit import AuditTrail
+from cyclamenscale.configuration.audit import AuditTrail
 from cyclamenscale.errors import FieldError, NotFoundError
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
@@ -13,7 +13,7 @@
     RequestClass,
 )
 from cyclamenscale.settings import AuditSettings, Settings
-from cyclamenscale.store import KeyValue, RangeResult
+from cyclamenscale.store.port import KeyValue, RangeResult
 from cyclamenscale.util.codec import encode_record
 
 SETTINGS = Settings(audit=AuditSettings(memory_limit=10))
--- a/test/test_configuration.py
+++ b/test/configuration/test_configuration.py
@@ -4,17 +4,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.messages import ConfigChange
-from cyclamenscale.model import ConfigView, InstanceRecord, PoolRecord
-from cyclamenscale.settings import PeersSettings, Settings
-from cyclamenscale.validation import (
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.configuration.validation import (
     FieldErrors,
     check_removal,
     parse_class,
     parse_instance,
     parse_pool,
 )
+from cyclamenscale.members.messages import ConfigChange
+from cyclamenscale.model import ConfigView, InstanceRecord, PoolRecord
+from cyclamenscale.settings import PeersSettings, Settings
 
 SMALL = Settings(peers=PeersSettings(log_limit=3))
 VIEW = ConfigView(
--- a/test/test_operations.py
+++ b/test/configuration/test_operations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenscale.configuration.validation import FieldErrors
 from cyclamenscale.errors import (
     ConflictError,
     FieldError,
@@ -13,9 +14,8 @@
 )
 from cyclamenscale.model import CHANGE_PREFIX, ChangeRecord
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Compare, Put
+from cyclamenscale.store.port import Compare, Put
 from cyclamenscale.util.codec import decode_record
-from cyclamenscale.validation import FieldErrors
 from test.nodes import end_all, eventually, start_three
 
 CLASS = {"pool": "p", "finish_within_ms": 100, "max_out_share": 0.1}
--- a/test/test_operators.py
+++ b/test/configuration/test_operators.py
@@ -3,7 +3,9 @@
 import pytest
 from werkzeug.test import Client
 
-from cyclamenscale.audit import AuditTrail
+from cyclamenscale.configuration.audit import AuditTrail
+from cyclamenscale.configuration.operations import Accepted, ChangeStatus
+from cyclamenscale.configuration.operators import OperatorsApp
 from cyclamenscale.errors import (
     ConflictError,
     FieldError,
@@ -14,10 +16,8 @@
 )
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import ChangeRecord, ConfigView, PoolRecord
-from cyclamenscale.operations import Accepted, ChangeStatus
-from cyclamenscale.operators import OperatorsApp
 from cyclamenscale.settings import Settings
-from cyclamenscale.store import RangeResult
+from cyclamenscale.store.port import RangeResult
 
 # WSGI hands the bytes of a header on as Latin-1.
 ZIVA = "Živa".encode().decode("latin-1")
--- a/test/test_reader.py
+++ b/test/configuration/test_reader.py
@@ -1,8 +1,8 @@
 """Tests of the configuration reader on the store in memory."""
 
-from cyclamenscale.configuration import ConfigTable
+from cyclamenscale.configuration.table import ConfigTable
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Compare, Delete, Put
+from cyclamenscale.store.port import Compare, Delete, Put
 from test.nodes import Node, eventually
 
 
--- a/test/test_controller.py
+++ b/test/fleet/test_controller.py
@@ -12,16 +12,17 @@
     run_state_machine_as_test,
 )
 
-from cyclamenscale import controller
-from cyclamenscale.budget import (
+from cyclamenscale.fleet import controller
+from cyclamenscale.fleet.budget import (
     BUDGET_PREFIX,
     BudgetRecord,
     allowed_out,
     budget_use,
 )
-from cyclamenscale.control import ControlHolder
-from cyclamenscale.controller import LoadedBudget, PoolController
-from cyclamenscale.drain import next_step
+from cyclamenscale.fleet.control import ControlHolder
+from cyclamenscale.fleet.controller import LoadedBudget, PoolController
+from cyclamenscale.fleet.drain import next_step
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     CLASS_PREFIX,
@@ -31,12 +32,11 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.fleet import MemoryPlatform
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Put
+from cyclamenscale.store.port import Put
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/test/test_moves.py
+++ b/test/fleet/test_moves.py
@@ -14,22 +14,22 @@
     run_state_machine_as_test,
 )
 
-from cyclamenscale import moving
-from cyclamenscale.budget import (
+from cyclamenscale.fleet import moving
+from cyclamenscale.fleet.budget import (
     BUDGET_PREFIX,
     BudgetRecord,
     MoveNote,
     allowed_out,
 )
-from cyclamenscale.drain import next_step
+from cyclamenscale.fleet.drain import next_step
+from cyclamenscale.fleet.moves import Envelope, PoolState, envelope, pick_moves
+from cyclamenscale.fleet.moving import Mover
+from cyclamenscale.fleet.outages import LoadedBudget
 from cyclamenscale.model import CLASS_PREFIX, POOL_PREFIX, RequestClass
 from cyclamenscale.model import PoolRecord as Pool
-from cyclamenscale.moves import Envelope, PoolState, envelope, pick_moves
-from cyclamenscale.moving import Mover
-from cyclamenscale.outages import LoadedBudget
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.codec import decode_record
-from test.test_controller import POOL, SIZE, START_S, FakeEntry, World
+from test.fleet.test_controller import POOL, SIZE, START_S, FakeEntry, World
 
 SPARE = "spare"
 POOLS = (POOL, SPARE)
@@ -321,7 +321,7 @@
     def mutant(pool, outage, facts):
         return next_step(pool, outage, facts._replace(in_progress=0))
 
-    monkeypatch.setattr("cyclamenscale.controller.next_step", mutant)
+    monkeypatch.setattr("cyclamenscale.fleet.controller.next_step", mutant)
 
 
 def count_as_member(monkeypatch):
--- a/test/test_platform_http.py
+++ b/test/fleet/test_platform_http.py
@@ -7,8 +7,8 @@
     PlatformUnavailableError,
     StaleFenceError,
 )
-from cyclamenscale.platform import PlatformInstance, open_platform
-from cyclamenscale.platform_http import HttpPlatform
+from cyclamenscale.fleet.http_platform import HttpPlatform
+from cyclamenscale.fleet.ports import PlatformInstance, open_platform
 from cyclamenscale.settings import PlatformSettings, Settings
 from cyclamenscale.standin.platform import PlatformServer
 from cyclamenscale.util.clock import VirtualClock
--- a/test/test_freshness.py
+++ b/test/members/test_freshness.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.freshness import Barrier, Freshness
-from cyclamenscale.messages import ConfigChange
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.members.freshness import Barrier, Freshness
+from cyclamenscale.members.messages import ConfigChange
 from cyclamenscale.model import MEMBERS_KEY, MemberList, MemberRecord
 from cyclamenscale.settings import EntrySettings, Settings
 from cyclamenscale.util.clock import VirtualClock
--- a/test/test_freshness_machine.py
+++ b/test/members/test_freshness_machine.py
@@ -17,10 +17,10 @@
     run_state_machine_as_test,
 )
 
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.freshness import Barrier, Confirmation, Freshness
-from cyclamenscale.members import with_member
-from cyclamenscale.messages import ConfigChange
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.members.freshness import Barrier, Confirmation, Freshness
+from cyclamenscale.members.members import with_member
+from cyclamenscale.members.messages import ConfigChange
 from cyclamenscale.model import MEMBERS_KEY, MemberList, MemberRecord
 from cyclamenscale.settings import (
     EntrySettings,
--- a/test/test_members.py
+++ b/test/members/test_members.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cyclamenscale.errors import NotAcceptedError, NotFoundError
-from cyclamenscale.members import choose_incarnation
+from cyclamenscale.members.members import choose_incarnation
 from cyclamenscale.standin.state import StoreState
 from test.nodes import FAST, Node, end_all, eventually, start_three
 
--- a/test/test_membership.py
+++ b/test/members/test_membership.py
@@ -1,6 +1,6 @@
 """Tests of the peer table."""
 
-from cyclamenscale.membership import PEERS_LIMIT, Membership
+from cyclamenscale.members.membership import PEERS_LIMIT, Membership
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import MemberList, MemberRecord
 from cyclamenscale.settings import EntrySettings, PeersSettings, Settings
--- a/test/test_messages.py
+++ b/test/members/test_messages.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from cyclamenscale.errors import FrameError
-from cyclamenscale.messages import (
+from cyclamenscale.members.messages import (
     MESSAGE_TYPES,
     Heartbeat,
     SlotBatch,
--- a/test/test_peers.py
+++ b/test/members/test_peers.py
@@ -2,13 +2,13 @@
 
 import zmq
 
-from cyclamenscale.messages import (
+from cyclamenscale.members.messages import (
     ConfigChange,
     EndpointSign,
     Heartbeat,
     encode_frame,
 )
-from cyclamenscale.peers import OUTBOX_LIMIT
+from cyclamenscale.members.peers import OUTBOX_LIMIT
 from cyclamenscale.standin.state import StoreState
 from test.nodes import FAST, Node, eventually
 
--- a/test/nodes.py
+++ b/test/nodes.py
@@ -4,13 +4,13 @@
 from threading import Event, Thread
 from time import monotonic
 
-from cyclamenscale.configuration import ConfigTable
-from cyclamenscale.freshness import Freshness
-from cyclamenscale.members import Members, choose_incarnation
+from cyclamenscale.configuration.operations import Operations
+from cyclamenscale.configuration.reader import Reader
+from cyclamenscale.configuration.table import ConfigTable
+from cyclamenscale.members.freshness import Freshness
+from cyclamenscale.members.members import Members, choose_incarnation
+from cyclamenscale.members.peers import PeerLink
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.operations import Operations
-from cyclamenscale.peers import PeerLink
-from cyclamenscale.reader import Reader
 from cyclamenscale.settings import (
     EntrySettings,
     FreshnessSettings,
--- a/test/path.py
+++ b/test/path.py
@@ -4,11 +4,8 @@
 from threading import Lock
 from typing import NamedTuple
 
-from cyclamenscale.claim_records import ClaimResult
-from cyclamenscale.directory import Directory
-from cyclamenscale.dispatch import Dispatcher
-from cyclamenscale.endpoints import EndpointClient
 from cyclamenscale.errors import NotRunError
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import (
     ConfigView,
@@ -16,8 +13,11 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.outliers import PoolsHealth
-from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.requests.claim_records import ClaimResult
+from cyclamenscale.requests.directory import Directory
+from cyclamenscale.requests.dispatch import Dispatcher
+from cyclamenscale.requests.endpoints import EndpointClient
+from cyclamenscale.requests.outliers import PoolsHealth
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.endpoint import StandinEndpoint
 from cyclamenscale.util.clock import monotonic
--- a/test/test_jobs.py
+++ b/test/placing/test_jobs.py
@@ -2,14 +2,16 @@
 
 import pytest
 
-from cyclamenscale.budget import CONTROL_PREFIX
 from cyclamenscale.errors import (
     ConflictError,
     ControlLostError,
     JobStateError,
     OutcomeUnknownError,
 )
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.budget import CONTROL_PREFIX
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.placing.job_records import (
     ALLOWED,
     CANCELLED,
     CLAIMED,
@@ -21,13 +23,11 @@
     TaskRecord,
     job_key,
 )
-from cyclamenscale.jobs import Change, JobBook, allocations, groups
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.platform import Resources
+from cyclamenscale.placing.jobs import Change, JobBook, allocations, groups
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Compare, Put
+from cyclamenscale.store.port import Compare, Put
 
 POOL = "north"
 
@@ -158,6 +158,6 @@
 def test_reading_page_by_page_finds_each_job(book, monkeypatch):
     """Guards against jobs that are lost between two pages."""
     ids = fill(book, 25)
-    monkeypatch.setattr("cyclamenscale.jobs.PAGE", 10)
+    monkeypatch.setattr("cyclamenscale.placing.jobs.PAGE", 10)
     assert list(book.read_jobs(POOL)) == ids
     assert book.read_jobs(POOL)[ids[0]].key == job_key(POOL, ids[0])
--- a/test/test_placement.py
+++ b/test/placing/test_placement.py
@@ -8,19 +8,19 @@
 from hypothesis import strategies as st
 
 from cyclamenscale.errors import FieldError, JobImpossibleError
-from cyclamenscale.job_records import JobRecord, JobSpec
-from cyclamenscale.overload import LoadedTask, lift, relieve
-from cyclamenscale.placement import (
+from cyclamenscale.fleet.ports import Resources, TaskReport
+from cyclamenscale.placing.job_records import JobRecord, JobSpec
+from cyclamenscale.placing.overload import LoadedTask, lift, relieve
+from cyclamenscale.placing.placement import (
     PLACEMENT_POLICIES,
     Spread,
     by_urgency,
     make_policy,
     quota_admits,
 )
-from cyclamenscale.platform import Resources, TaskReport
-from cyclamenscale.quarantine import Failures
-from cyclamenscale.usage_history import UsageHistory
-from cyclamenscale.worker_index import SCAN_LIMIT, WorkerIndex
+from cyclamenscale.placing.quarantine import Failures
+from cyclamenscale.placing.usage_history import UsageHistory
+from cyclamenscale.placing.worker_index import SCAN_LIMIT, WorkerIndex
 
 BIG = Resources(64, 256, 4)
 
--- a/test/test_placer.py
+++ b/test/placing/test_placer.py
@@ -2,16 +2,16 @@
 
 import pytest
 
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.placing.job_records import (
     DONE,
     FAILED,
     QUEUED,
     REJECTED,
 )
-from cyclamenscale.jobs import allocations
-from cyclamenscale.platform import Resources
+from cyclamenscale.placing.jobs import allocations
 from cyclamenscale.standin.workers import Truth
-from test.placing import CAPACITY, POOL, World
+from test.placing.world import CAPACITY, POOL, World
 
 
 def test_jobs_run_to_their_end():
--- a/test/test_placer_machine.py
+++ b/test/placing/test_placer_machine.py
@@ -14,27 +14,29 @@
     run_state_machine_as_test,
 )
 
-from cyclamenscale import placer as placer_module
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.placing import placer as placer_module
+from cyclamenscale.placing.job_records import (
     CANCELLED,
     DONE,
     ENDED,
     FAILED,
 )
-from cyclamenscale.jobs import JobBook, allocations
-from cyclamenscale.placer import PoolWork
-from cyclamenscale.placer_state import PoolState, Seen
-from cyclamenscale.platform import Resources
+from cyclamenscale.placing.jobs import JobBook, allocations
+from cyclamenscale.placing.placer import PoolWork
+from cyclamenscale.placing.placer_state import PoolState, Seen
+from cyclamenscale.placing.task_actions import TaskActions
+from cyclamenscale.placing.task_states import TaskFollower
 from cyclamenscale.standin.workers import MemoryWorkers, Truth
-from cyclamenscale.task_actions import TaskActions
-from cyclamenscale.task_states import TaskFollower
-from test.placing import (
+from test.placing.test_placer import (
+    test_jobs_run_to_their_end as run_to_the_end,
+)
+from test.placing.world import (
     CAPACITY,
     POOL,
     SLACK,
     World,
 )
-from test.test_placer import test_jobs_run_to_their_end as run_to_the_end
 
 KINDS = {
     "short": Truth(Resources(1, 1), 2.0),
@@ -338,7 +340,7 @@
 def forget_allocations(monkeypatch):
     """Take each worker for idle."""
     monkeypatch.setattr(
-        "cyclamenscale.placer_state.allocations", lambda jobs: ({}, {})
+        "cyclamenscale.placing.placer_state.allocations", lambda jobs: ({}, {})
     )
 
 
--- a/test/placing.py
+++ b/test/placing/world.py
@@ -3,22 +3,22 @@
 from collections import Counter
 from random import Random
 
-from cyclamenscale.control import ControlHolder
-from cyclamenscale.job_records import (
+from cyclamenscale.fleet.control import ControlHolder
+from cyclamenscale.fleet.ports import PlatformWorker, Resources
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.model import INSTANCE_PREFIX, ConfigView, InstanceRecord
+from cyclamenscale.placing.job_records import (
     QUARANTINE_PREFIX,
     JobSpec,
     QuarantineRecord,
 )
-from cyclamenscale.jobs import JobBook
-from cyclamenscale.metrics import Metrics
-from cyclamenscale.model import INSTANCE_PREFIX, ConfigView, InstanceRecord
-from cyclamenscale.placer import PoolPlacer
-from cyclamenscale.platform import PlatformWorker, Resources
+from cyclamenscale.placing.jobs import JobBook
+from cyclamenscale.placing.placer import PoolPlacer
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
 from cyclamenscale.standin.workers import MemoryWorkers, Truth
-from cyclamenscale.store import Put
+from cyclamenscale.store.port import Put
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import decode_record, encode_record
 
--- a/test/processes.py
+++ b/test/processes.py
@@ -15,10 +15,10 @@
 from typing import Any, NamedTuple
 
 from cyclamenscale.errors import CyclamenError
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.local import POOL, DemoClass
 from cyclamenscale.local_calls import CallResult, call
 from cyclamenscale.local_report import account
-from cyclamenscale.platform import PlatformInstance
 from cyclamenscale.standin.endpoint import RunRecord, StandinEndpoint
 from cyclamenscale.standin.platform import PlatformServer
 from cyclamenscale.standin.store import StoreServer
--- a/test/test_callers.py
+++ b/test/requests/test_callers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cyclamenscale.callers import CallerApp
+from cyclamenscale.requests.callers import CallerApp
 from cyclamenscale.server import HttpServer
 from cyclamenscale.util.codec import from_json
 from test.path import Path
--- a/test/test_claims.py
+++ b/test/requests/test_claims.py
@@ -4,13 +4,18 @@
 
 import pytest
 
-from cyclamenscale.claim_records import ClaimRecord, Step, choose, store_key
-from cyclamenscale.claims import ClaimResult, Claims, RecordedOutcome
 from cyclamenscale.errors import (
     StoreAnswerLostError,
     StoreUnavailableError,
 )
 from cyclamenscale.metrics import Metrics
+from cyclamenscale.requests.claim_records import (
+    ClaimRecord,
+    Step,
+    choose,
+    store_key,
+)
+from cyclamenscale.requests.claims import ClaimResult, Claims, RecordedOutcome
 from cyclamenscale.settings import (
     ClaimsSettings,
     EntrySettings,
@@ -19,7 +24,7 @@
 )
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Delete, Put
+from cyclamenscale.store.port import Delete, Put
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import decode_record
 
@@ -323,7 +328,7 @@
             entry.claims.record("invoice", "k", "a1", OUTCOME)
             entry.claims.commit_once()
 
-    monkeypatch.setattr("cyclamenscale.claims.time.sleep", wait)
+    monkeypatch.setattr("cyclamenscale.requests.claims.time.sleep", wait)
     until_s = entry.claims.clock() + 5.0
     found = entry.claims.await_outcome(step, until_s)
     assert found == ("recorded", OUTCOME)
--- a/test/test_claims_machine.py
+++ b/test/requests/test_claims_machine.py
@@ -12,11 +12,11 @@
     rule,
 )
 
-from cyclamenscale.claim_records import store_key
 from cyclamenscale.errors import StoreError
+from cyclamenscale.requests.claim_records import store_key
 from cyclamenscale.standin.state import StoreState
 from cyclamenscale.util.clock import VirtualClock
-from test.test_claims import OUTCOME, Entry, stored
+from test.requests.test_claims import OUTCOME, Entry, stored
 
 KEYS = st.sampled_from(["k1", "k2"])
 # A key that ran stays settled, so most claims are abandoned.
--- a/test/test_directory.py
+++ b/test/requests/test_directory.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from cyclamenscale.directory import Directory
+from cyclamenscale.fleet.ports import PlatformInstance
 from cyclamenscale.model import ConfigView, InstanceRecord, PoolRecord
-from cyclamenscale.platform import PlatformInstance
+from cyclamenscale.requests.directory import Directory
 from cyclamenscale.util.clock import VirtualClock
 
 
--- a/test/test_dispatch.py
+++ b/test/requests/test_dispatch.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cyclamenscale.admission import CallerRequest
 from cyclamenscale.errors import StoreAnswerLostError, StoreUnavailableError
-from cyclamenscale.outliers import EndpointHealth
+from cyclamenscale.requests.admission import CallerRequest
+from cyclamenscale.requests.outliers import EndpointHealth
 from cyclamenscale.settings import LimitsSettings, Settings
 from cyclamenscale.util.clock import monotonic
 from test.path import Path
--- a/test/test_endpoints.py
+++ b/test/requests/test_endpoints.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from cyclamenscale.channel import Channel, Exchange
-from cyclamenscale.endpoints import EndpointClient, EndpointRequest
 from cyclamenscale.errors import EndpointError, EndpointRefusedError
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.model import Endpoint
+from cyclamenscale.requests.channel import Channel, Exchange
+from cyclamenscale.requests.endpoints import EndpointClient, EndpointRequest
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.endpoint import StandinEndpoint
 from cyclamenscale.util.clock import monotonic
--- a/test/test_limits.py
+++ b/test/requests/test_limits.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cyclamenscale.limits import RetryBudget, TokenRate, backoff_s
+from cyclamenscale.requests.limits import RetryBudget, TokenRate, backoff_s
 from cyclamenscale.settings import LimitsSettings
 from cyclamenscale.util.clock import VirtualClock
 
--- a/test/test_outliers.py
+++ b/test/requests/test_outliers.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from cyclamenscale.model import Endpoint
-from cyclamenscale.outliers import (
+from cyclamenscale.requests.outliers import (
     LEAVING_HOLD_S,
     EndpointHealth,
     HealthSign,
--- a/test/test_runtimes.py
+++ b/test/requests/test_runtimes.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cyclamenscale import runtimes
-from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.requests import runtimes
+from cyclamenscale.requests.runtimes import RunTimes
 from cyclamenscale.settings import Settings
 from cyclamenscale.util.clock import VirtualClock
 
--- a/test/test_scheduling.py
+++ b/test/requests/test_scheduling.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cyclamenscale.errors import NotFoundError
-from cyclamenscale.messages import DoneItem, HoldingItem, WantItem
+from cyclamenscale.members.messages import DoneItem, HoldingItem, WantItem
 from cyclamenscale.model import Endpoint
-from cyclamenscale.scheduling import PoolScheduler, find_policy
+from cyclamenscale.requests.scheduling import PoolScheduler, find_policy
 from cyclamenscale.settings import SchedulingSettings, Settings
 from cyclamenscale.util.clock import VirtualClock
 
--- a/test/test_slots.py
+++ b/test/requests/test_slots.py
@@ -16,7 +16,7 @@
 )
 
 from cyclamenscale.errors import NotRunError
-from cyclamenscale.messages import (
+from cyclamenscale.members.messages import (
     DoneItem,
     GrantBatch,
     GrantItem,
@@ -29,12 +29,12 @@
     PoolRecord,
     RequestClass,
 )
-from cyclamenscale.queues import Key
-from cyclamenscale.runtimes import RunTimes
+from cyclamenscale.requests.queues import Key
+from cyclamenscale.requests.runtimes import RunTimes
+from cyclamenscale.requests.slot_client import PoolView, SlotClient
+from cyclamenscale.requests.slot_role import SlotRole
+from cyclamenscale.requests.slots import SlotBroker
 from cyclamenscale.settings import EntrySettings, Settings
-from cyclamenscale.slot_client import PoolView, SlotClient
-from cyclamenscale.slot_role import SlotRole
-from cyclamenscale.slots import SlotBroker
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.rendezvous import choose
 
--- a/test/test_etcd.py
+++ b/test/store/test_etcd.py
@@ -15,11 +15,11 @@
     StoreAnswerLostError,
     StoreUnavailableError,
 )
-from cyclamenscale.etcd import EtcdStore
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings, StoreSettings
 from cyclamenscale.standin.store import StoreServer
-from cyclamenscale.store import Compare, Delete, Put, open_store
+from cyclamenscale.store.etcd import EtcdStore
+from cyclamenscale.store.port import Compare, Delete, Put, open_store
 
 
 @pytest.fixture(scope="module")
--- a/test/test_pacing.py
+++ b/test/store/test_pacing.py
@@ -4,10 +4,10 @@
 
 from cyclamenscale.errors import StoreUnavailableError
 from cyclamenscale.metrics import Metrics
-from cyclamenscale.pacing import PacedStore
 from cyclamenscale.settings import Settings
 from cyclamenscale.standin.memory import MemoryStore
-from cyclamenscale.store import Put
+from cyclamenscale.store.pacing import PacedStore
+from cyclamenscale.store.port import Put
 from cyclamenscale.util.clock import VirtualClock
 
 
--- a/test/test_store_standin.py
+++ b/test/store/test_store_standin.py
@@ -11,7 +11,7 @@
 from cyclamenscale.settings import Settings, StoreSettings
 from cyclamenscale.standin.memory import MemoryStore
 from cyclamenscale.standin.state import StoreState
-from cyclamenscale.store import Compare, Delete, Put
+from cyclamenscale.store.port import Compare, Delete, Put
 from cyclamenscale.util.clock import VirtualClock
 
 
--- a/test/test_bench_policy.py
+++ b/test/test_bench_policy.py
@@ -8,7 +8,7 @@
 from cyclamenscale.bench.trace import BURST, DEPLOYMENTS, make_trace, rates
 from cyclamenscale.bench.world import Fault, World
 from cyclamenscale.errors import NotFoundError
-from cyclamenscale.scheduling import POLICIES, find_policy
+from cyclamenscale.requests.scheduling import POLICIES, find_policy
 from cyclamenscale.util.rendezvous import choose
 
 SECONDS = 6.0
--- a/test/test_ui.py
+++ b/test/test_ui.py
@@ -24,7 +24,7 @@
 from cyclamenscale.ui.client import Answer, AttemptError, Client, attempt
 from cyclamenscale.util.log import set_up
 from cyclamenscale.util.tables import table
-from test.test_operators import Entry
+from test.configuration.test_operators import Entry
 
 CHANGE = ["--why", "test", "--who", "Živa"]
 
