--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -505,3 +505,99 @@
         self.worker = worker
         self.task = task
         self.reason = reason
+
+
+class CallError(CyclamenError):
+    """A call over HTTP ended without an answer.
+
+    :param reason: the transport's description.
+    """
+
+    def __init__(self, reason: str):
+        """Keep the reason."""
+        super().__init__(f"no answer: {reason}")
+        self.reason = reason
+
+
+class CallNotSentError(CallError):
+    """The server cannot have read the call."""
+
+
+class CallUnansweredError(CallError):
+    """The call may have been carried out, or may be later."""
+
+
+class JobError(CyclamenError):
+    """Base of the refusals of a call about a job.
+
+    :cvar code: machine-readable reason.
+    :cvar status: HTTP status.
+    """
+
+    code = "job_error"
+    status = 500
+
+
+class NotAcceptedNowError(JobError):
+    """A job was not stored and never will be; it may be sent again.
+
+    :param reason: what stood in the way.
+    :param retry_after_s: when to come back.
+    """
+
+    code = "not_accepted"
+    status = 503
+
+    def __init__(self, reason: str, retry_after_s: float):
+        """Keep the parts."""
+        super().__init__(f"not accepted: {reason}")
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class UnknownOutcomeError(JobError):
+    """It is not known whether a job was, or will be, stored.
+
+    :param reason: what stood in the way.
+    """
+
+    code = "unknown"
+    status = 504
+
+    def __init__(self, reason: str):
+        """Keep the reason."""
+        super().__init__(f"outcome unknown: {reason}")
+        self.reason = reason
+
+
+class NoQueueError(JobError):
+    """No queue has the host and path of a call."""
+
+    code = "no_queue"
+    status = 404
+
+
+class NoJobError(JobError):
+    """There is no job of that id."""
+
+    code = "no_job"
+    status = 410
+
+
+class BadJobError(JobError):
+    """A job that was handed in is malformed; it was not stored.
+
+    :param field: name of the field, with its path.
+    :param found: the value that was given.
+    :param allowed: what is allowed, in words.
+    """
+
+    code = "bad_job"
+    status = 400
+
+    def __init__(self, field: str, found: object, allowed: str):
+        """Keep the parts for programs, build the message for people."""
+        super().__init__(f"{field}: found {found!r:.80}, allowed: {allowed}")
+        self.field = field
+        self.found = found
+        self.allowed = allowed
--- /dev/null
+++ b/cyclamenscale/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of tasks on workers: acceptance, placement, recovery, machines."""
--- /dev/null
+++ b/cyclamenscale/jobs/acceptance.py
@@ -0,0 +1,189 @@
+"""Accepts and cancels jobs: stored first, in groups, then answered.
+
+A caller is told "not accepted" only if the store certainly did not, and
+never will, take the job. After a lost answer the same write is sent again;
+if it was carried out, its comparison fails and shows the record.
+"""
+
+from collections import deque
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from cyclamenscale.errors import (
+    NotAcceptedNowError,
+    StoreError,
+    StoreUnavailableError,
+    UnknownOutcomeError,
+)
+from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.store.port import Compare, Put, TxnResult
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import Loop
+
+#: The platform takes 32 entries a transaction, two for each record.
+WRITES_PER_TXN = 15
+
+#: Records that wait; more are refused at once.
+WAITING_LIMIT = 600
+
+#: Transactions on their way at once.
+IN_FLIGHT_LIMIT = 2
+
+#: Pause before a write that failed is sent again.
+RETRY_S = 0.15
+
+
+class Stored(NamedTuple):
+    """A record that is in the store.
+
+    :ivar revision: revision of its creation, 0 if it was there before.
+    :ivar value: the value that is there.
+    """
+
+    revision: int
+    value: bytes
+
+
+class Write:
+    """A record to create.
+
+    :ivar maybe: whether an earlier try may still be carried out.
+    """
+
+    def __init__(self, key: str, value: bytes, end_s: float):
+        """Keep the record and when the caller gives up."""
+        self.key = key
+        self.value = value
+        self.end_s = end_s
+        self.outcome: Future = Future()
+        self.maybe = False
+        self.tries = 0
+
+
+class Acceptance:
+    """Creates records in groups; belongs to the loop's thread.
+
+    :param loop: timers.
+    :param store: the store.
+    :param events: log of what failed.
+    """
+
+    def __init__(self, loop: Loop, store: StoreCalls, events: EventLog):
+        """Start with nothing waiting."""
+        self.loop = loop
+        self.store = store
+        self.events = events
+        self.waiting: deque[Write] = deque()
+        self.in_flight = 0
+        self.scheduled = False
+        #: When the store last answered and last failed.
+        self.answered_s = 0.0
+        self.failed_s = -1e9
+
+    def create(self, key: str, value: bytes, end_s: float) -> Future:
+        """Create a record unless there is one.
+
+        :param end_s: when the caller gives up.
+        :returns: :class:`Stored`; fails with :class:`NotAcceptedNowError`
+            if it is certainly not stored, and with
+            :class:`UnknownOutcomeError` if that is not known.
+        """
+        write = Write(key, value, end_s)
+        if len(self.waiting) >= WAITING_LIMIT:
+            write.outcome.set_exception(NotAcceptedNowError("overload", 1.0))
+            return write.outcome
+        self.waiting.append(write)
+        self.schedule(0.0)
+        return write.outcome
+
+    def schedule(self, delay_s: float) -> None:
+        """Send what waits, after a delay."""
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_later(delay_s, self.send)
+
+    def send(self) -> None:
+        """Send a group if one may be sent."""
+        self.scheduled = False
+        while self.waiting and self.in_flight < IN_FLIGHT_LIMIT:
+            group: dict[str, Write] = {}
+            rest: deque[Write] = deque()
+            now_s = self.loop.clock()
+            while self.waiting and len(group) < WRITES_PER_TXN:
+                write = self.waiting.popleft()
+                if write.end_s <= now_s:
+                    self.give_up(write)
+                elif write.key in group:
+                    rest.append(write)
+                else:
+                    group[write.key] = write
+            self.waiting.extendleft(reversed(rest))
+            if not group:
+                return
+            self.send_group(list(group.values()))
+            if rest:
+                return
+
+    def send_group(self, group: list[Write]) -> None:
+        """Send one transaction."""
+        self.in_flight += 1
+        for write in group:
+            write.tries += 1
+        answer = self.store.txn(
+            [Compare(write.key, 0) for write in group],
+            [Put(write.key, write.value) for write in group],
+        )
+        answer.add_done_callback(lambda done: self.answered(group, done))
+
+    def answered(self, group: list[Write], done: Future) -> None:
+        """Take the outcome of a transaction."""
+        self.in_flight -= 1
+        error = done.exception()
+        if error:
+            self.failed(group, error)
+        else:
+            self.answered_s = self.loop.clock()
+            result: TxnResult = done.result()
+            for write in group:
+                found = result.current.get(write.key)
+                if result.succeeded:
+                    write.outcome.set_result(
+                        Stored(result.revision, write.value)
+                    )
+                elif found:
+                    write.outcome.set_result(Stored(0, found.value))
+                else:
+                    self.waiting.append(write)
+        if self.waiting:
+            self.schedule(0.0)
+
+    def failed(self, group: list[Write], error: BaseException) -> None:
+        """Decide on a group whose transaction failed."""
+        now_s = self.loop.clock()
+        self.failed_s = now_s
+        lost = not isinstance(error, StoreUnavailableError)
+        if not isinstance(error, StoreError):
+            self.events.note("accept.store_error", reason=str(error))
+        for write in group:
+            write.maybe = write.maybe or lost
+            if write.end_s - now_s < RETRY_S or not write.maybe:
+                self.give_up(write)
+            else:
+                self.waiting.append(write)
+        self.events.note(
+            "accept.store_failed",
+            records=len(group),
+            lost=lost,
+            reason=str(error),
+        )
+        if self.waiting:
+            self.schedule(RETRY_S)
+
+    def give_up(self, write: Write) -> None:
+        """Tell that a record is not stored, or that nobody knows."""
+        if write.maybe:
+            write.outcome.set_exception(UnknownOutcomeError("store"))
+        else:
+            write.outcome.set_exception(
+                NotAcceptedNowError("store_unavailable", 1.0)
+            )
--- /dev/null
+++ b/cyclamenscale/jobs/election.py
@@ -0,0 +1,181 @@
+"""Competes for the leader's key and begins and ends terms."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from random import Random
+
+from cyclamenscale.jobs.board import Board
+from cyclamenscale.jobs.keys import LEADER
+from cyclamenscale.jobs.leadership import Lease
+from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.jobs.state import Term
+from cyclamenscale.settings import Settings
+from cyclamenscale.store.port import Compare, Put, TxnResult
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import Loop
+
+#: Longest wait before this entry competes, so that not all do at once.
+STAGGER_S = 0.08
+
+#: Pause after a try that failed.
+RETRY_S = 0.25
+
+#: Without news of the leader's key it is read again after this time.
+REREAD_S = 1.0
+
+
+class Election:
+    """Holds the leader's key, or waits for it to be free.
+
+    :param settings: the whole settings.
+    :param loop: clock and timers.
+    :param store: the store.
+    :param board: knows the present holder.
+    :param begin: called with the :class:`Term` that was won.
+    :param end: called with the reason why it has ended.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        store: StoreCalls,
+        board: Board,
+        events: EventLog,
+        rng: Random,
+        begin: Callable[[Term], None],
+        end: Callable[[str], None],
+    ):
+        """Start as a follower."""
+        self.settings = settings
+        self.loop = loop
+        self.store = store
+        self.board = board
+        self.events = events
+        self.rng = rng
+        self.begin = begin
+        self.end = end
+        self.lease = Lease(loop.clock)
+        self.term: Term | None = None
+        self.willing = False
+        self.busy = False
+        self.renewing = False
+        self.due_s = 0.0
+        self.renew_due_s = 0.0
+        self.read_s = loop.clock()
+
+    def run(self) -> None:
+        """Do what is due; called several times a second."""
+        now_s = self.loop.clock()
+        if self.lease.id and not self.renewing and now_s >= self.renew_due_s:
+            self.renew(now_s)
+        if self.term or self.busy or not self.willing or now_s < self.due_s:
+            return
+        leader = self.board.leader
+        if leader is None:
+            self.due_s = now_s + RETRY_S
+            self.busy = True
+            delay_s = self.rng.random() * STAGGER_S
+            self.loop.call_later(delay_s, self.compete)
+        elif leader.node == self.settings.entry.name:
+            # An earlier process of this machine held it; it is dead.
+            self.due_s = now_s + RETRY_S
+            self.events.note("leader.end_own", lease=leader.lease)
+            self.store.end_lease(leader.lease).add_done_callback(
+                lambda done: done.exception()
+            )
+        elif now_s - self.read_s > REREAD_S:
+            # The watch may be deaf for a while.
+            self.read_s = now_s
+            self.store.read(LEADER).add_done_callback(self.reread)
+
+    def reread(self, done: Future) -> None:
+        """Take a direct reading of the leader's key."""
+        if done.exception():
+            return
+        if done.result() is None:
+            self.board.leader = None
+        else:
+            self.board.apply(done.result(), self.loop.clock())
+
+    def compete(self) -> None:
+        """Make a lease if there is none, then try to create the key."""
+        if self.board.leader is not None or self.term:
+            self.busy = False
+            return
+        if self.lease.is_proved():
+            self.create()
+            return
+        ttl_ms = self.settings.jobs.lease_ttl_ms
+        sent_s = self.loop.clock()
+
+        def granted(done: Future) -> None:
+            if done.exception():
+                self.busy = False
+                self.due_s = self.loop.clock() + RETRY_S
+                return
+            self.lease.granted(done.result(), ttl_ms / 1000, sent_s)
+            self.renew_due_s = sent_s + self.settings.jobs.renew_s
+            self.create()
+
+        self.store.grant_lease(ttl_ms).add_done_callback(granted)
+
+    def create(self) -> None:
+        """Try to create the leader's key."""
+        name = self.settings.entry.name
+        put = Put(LEADER, name.encode(), self.lease.id)
+
+        def created(done: Future) -> None:
+            self.busy = False
+            if done.exception():
+                self.due_s = self.loop.clock() + RETRY_S
+                return
+            result: TxnResult = done.result()
+            fence = result.revision
+            if not result.succeeded:
+                found = result.current.get(LEADER)
+                if not found or found.lease != self.lease.id:
+                    if found:
+                        self.board.apply(found, self.loop.clock())
+                    return
+                # An earlier try whose answer was lost had won.
+                fence = found.mod_revision
+            self.term = Term(name, fence, self.loop.clock())
+            self.events.note("leader.won", fence=fence)
+            self.begin(self.term)
+
+        self.store.txn([Compare(LEADER, 0)], [put]).add_done_callback(created)
+
+    def renew(self, now_s: float) -> None:
+        """Renew the lease."""
+        self.renewing = True
+        self.renew_due_s = now_s + self.settings.jobs.renew_s
+        lease = self.lease.id
+
+        def renewed(done: Future) -> None:
+            self.renewing = False
+            if lease != self.lease.id:
+                return
+            if done.exception():
+                return
+            if done.result():
+                self.lease.renewed(now_s)
+            else:
+                self.lease.lost()
+                self.resign("the lease has ended")
+
+        self.store.keep_lease(lease).add_done_callback(renewed)
+
+    def resign(self, why: str) -> None:
+        """End the term; the lease, if it is left, is ended too."""
+        if self.term:
+            self.events.note("leader.lost", fence=self.term.fence, why=why)
+            self.term = None
+            self.end(why)
+        if self.lease.id:
+            self.store.end_lease(self.lease.id).add_done_callback(
+                lambda done: done.exception()
+            )
+            self.lease.lost()
+        self.board.leader = None
+        self.due_s = self.loop.clock() + RETRY_S
--- /dev/null
+++ b/cyclamenscale/jobs/entry.py
@@ -0,0 +1,541 @@
+"""A job entry: takes callers' jobs, and coordinates while it leads.
+
+All state belongs to the event loop's thread; the threads of the HTTP
+servers hand their calls in with :meth:`Loop.submit`.
+"""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from random import Random
+from typing import NamedTuple
+
+from cyclamenscale.errors import (
+    FieldError,
+    JobError,
+    NoJobError,
+    NoQueueError,
+    NotAcceptedNowError,
+)
+from cyclamenscale.jobs.acceptance import Acceptance, Stored
+from cyclamenscale.jobs.board import Board
+from cyclamenscale.jobs.coordinator import TICK_S, Coordinator, Ports
+from cyclamenscale.jobs.election import Election
+from cyclamenscale.jobs.feeds import Feed
+from cyclamenscale.jobs.keys import PREFIX, cancel_key, job_key
+from cyclamenscale.jobs.ledger import REMOVED_PER_TXN
+from cyclamenscale.jobs.model import (
+    FINAL,
+    JobRecord,
+    JobSpec,
+    Manifest,
+    Queue,
+    Wave,
+    WorkerEntry,
+)
+from cyclamenscale.jobs.state import State, Term
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.store.port import KeyValue
+from cyclamenscale.util.codec import decode_record, encode_record
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import Loop
+
+#: Time between looks at what has a time.
+RUN_S = 0.1
+
+#: A follower gathers changes for this long after an event.
+FOLLOW_PAUSE_S = 0.01
+
+#: Without an answer of the store for this long an entry is not ready.
+STORE_SILENCE_S = 2.5
+
+#: Part of the caller's time that is left for the answer's way back.
+ANSWER_MARGIN_S = 0.25
+
+#: Time between removals of ended jobs.
+REMOVE_S = 2.0
+
+
+class Decoders(NamedTuple):
+    """How the operators' and workers' keys are read.
+
+    :ivar operator_prefix: keys that operators write.
+    :ivar manifest_key: key of the manifest.
+    :ivar wave_prefix: keys of requested waves.
+    :ivar worker_prefix: keys of the workers' registrations.
+    :ivar manifest: decodes a manifest.
+    :ivar wave: decodes a wave.
+    :ivar worker: decodes a registration, given the worker's id.
+    """
+
+    operator_prefix: str
+    manifest_key: str
+    wave_prefix: str
+    worker_prefix: str
+    manifest: Callable[[bytes], Manifest]
+    wave: Callable[[bytes], Wave]
+    worker: Callable[[str, bytes], WorkerEntry]
+
+
+class JobEntry:
+    """The parts of one process, wired together.
+
+    :param settings: the whole settings.
+    :param loop: its event loop.
+    :param ports: store, workers and machines.
+    :param decoders: how foreign keys are read.
+    :param rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        loop: Loop,
+        ports: Ports,
+        decoders: Decoders,
+        events: EventLog,
+        metrics: Metrics,
+        rng: Random,
+    ):
+        """Make the parts; :meth:`start` begins."""
+        self.settings = settings
+        self.loop = loop
+        self.ports = ports
+        self.decoders = decoders
+        self.events = events
+        self.metrics = metrics
+        self.rng = rng
+        self.board = Board()
+        self.manifest: Manifest | None = None
+        self.waves: dict[int, Wave] = {}
+        self.draining = False
+        self.coordinator: Coordinator | None = None
+        self.worker_feed: Feed | None = None
+        self.turn_planned = False
+        self.remove_due_s = 0.0
+        self.acceptance = Acceptance(loop, ports.store, events)
+        self.election = Election(
+            settings,
+            loop,
+            ports.store,
+            self.board,
+            events,
+            rng,
+            self.begin_term,
+            self.end_term,
+        )
+        wait_ms = settings.jobs.watch_ms
+        self.job_feed = Feed(
+            loop,
+            ports.store,
+            events,
+            PREFIX,
+            self.replace_jobs,
+            self.apply_jobs,
+            wait_ms,
+            FOLLOW_PAUSE_S,
+        )
+        self.operator_feed = Feed(
+            loop,
+            ports.store,
+            events,
+            decoders.operator_prefix,
+            lambda items, revision: self.apply_operator(items, revision),
+            self.apply_operator,
+            wait_ms,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the store; the loop's thread only."""
+        self.events.note("entry.start", settings=self.settings.entry._asdict())
+        self.job_feed.start()
+        self.operator_feed.start()
+        self.run()
+
+    def run(self) -> None:
+        """Do what has a time, again and again."""
+        self.loop.call_later(RUN_S, self.run)
+        self.election.willing = (
+            self.board.filled
+            and self.manifest is not None
+            and not self.draining
+        )
+        self.election.run()
+        self.remove_ended()
+
+    # The store's keys.
+
+    def replace_jobs(self, items: list[KeyValue], revision: int) -> None:
+        """Take a full reading of the jobs over."""
+        for fault in self.board.replace(items, revision, self.loop.clock()):
+            self.events.note("board.unreadable", reason=fault)
+        self.feed_coordinator(items)
+        self.check_leader()
+
+    def apply_jobs(self, items: list[KeyValue], revision: int) -> None:
+        """Take changes of the jobs over."""
+        now_s = self.loop.clock()
+        for item in items:
+            try:
+                self.board.apply(item, now_s)
+            except FieldError as error:
+                self.events.note("board.unreadable", reason=str(error))
+        self.board.revision = max(self.board.revision, revision)
+        self.feed_coordinator(items)
+        self.check_leader()
+
+    def check_leader(self) -> None:
+        """Step down if another entry leads; compete if none does."""
+        leader, term = self.board.leader, self.election.term
+        if term and leader and leader.fence > term.fence:
+            self.election.resign(f"{leader.node} leads")
+        elif term and leader is None:
+            self.election.resign("the leader's key is gone")
+        elif leader is None:
+            self.election.run()
+
+    def feed_coordinator(self, items: list[KeyValue]) -> None:
+        """Tell the coordinator of new and cancelled jobs."""
+        if not self.coordinator:
+            return
+        for item in items:
+            job = item.key.rpartition("/")[2]
+            posting = self.board.postings.get(job)
+            if not posting or not posting.record:
+                continue
+            if item.key == job_key(job) and posting.state not in FINAL:
+                self.coordinator.add_job(posting.record, posting.revision)
+            if posting.cancelled:
+                self.coordinator.cancel_job(job)
+        self.plan_turn()
+
+    def apply_operator(self, items: list[KeyValue], revision: int) -> None:
+        """Take what the operators have written over."""
+        for item in items:
+            try:
+                if item.key == self.decoders.manifest_key and item.value:
+                    self.set_manifest(self.decoders.manifest(item.value))
+                elif item.key.startswith(self.decoders.wave_prefix):
+                    if item.value:
+                        self.set_wave(self.decoders.wave(item.value))
+            except FieldError as error:
+                self.events.note(
+                    "operator.unreadable", key=item.key, reason=str(error)
+                )
+
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Apply a manifest unless a newer one is in force."""
+        if self.manifest and manifest.version <= self.manifest.version:
+            return
+        self.manifest = manifest
+        self.events.note(
+            "manifest.applied",
+            version=manifest.version,
+            queues=len(manifest.queues),
+            pools=len(manifest.pools),
+        )
+        if self.coordinator:
+            self.coordinator.set_manifest(manifest)
+            self.plan_turn()
+
+    def set_wave(self, wave: Wave) -> None:
+        """Take a requested wave on."""
+        if wave.number in self.waves:
+            return
+        self.waves[wave.number] = wave
+        if self.coordinator:
+            self.coordinator.machines.set_wave(wave)
+
+    # Terms.
+
+    def begin_term(self, term: Term) -> None:
+        """Read all jobs as of the term's beginning, then coordinate."""
+
+        def read(done: Future) -> None:
+            if self.election.term != term:
+                return
+            if done.exception():
+                self.election.resign(f"no reading: {done.exception()}")
+                return
+            items = done.result().items
+            self.board.replace(
+                items, done.result().revision, self.loop.clock()
+            )
+            self.coordinate(term)
+
+        self.ports.store.read_range(PREFIX).add_done_callback(read)
+
+    def coordinate(self, term: Term) -> None:
+        """Make the coordinator of a term and feed it."""
+        state = State(
+            self.settings,
+            term,
+            self.manifest,
+            self.loop.clock,
+            time.time,
+            self.election.lease.is_proved,
+            self.events,
+            self.metrics,
+        )
+        coordinator = Coordinator(state, self.ports, self.rng)
+        self.coordinator = coordinator
+        for job, posting in self.board.postings.items():
+            if not posting.record or posting.progress.state in FINAL:
+                continue
+            coordinator.add_job(posting.record, posting.revision, True)
+            if posting.progress_revision:
+                coordinator.restore_progress(
+                    job, posting.progress, posting.progress_revision
+                )
+            if posting.cancelled:
+                coordinator.cancel_job(job)
+        for wave in self.waves.values():
+            coordinator.machines.set_wave(wave)
+        self.worker_feed = Feed(
+            self.loop,
+            self.ports.store,
+            self.events,
+            self.decoders.worker_prefix,
+            self.replace_workers,
+            self.apply_workers,
+            self.settings.jobs.watch_ms,
+        )
+        self.worker_feed.start()
+        self.events.note("term.begin", fence=term.fence, jobs=len(state.jobs))
+        self.tick(coordinator)
+
+    def end_term(self, why: str) -> None:
+        """Stop coordinating; another entry takes over."""
+        if self.worker_feed:
+            self.worker_feed.stop()
+            self.worker_feed = None
+        self.coordinator = None
+
+    def tick(self, coordinator: Coordinator) -> None:
+        """Let a coordinator decide, again and again."""
+        if self.coordinator is not coordinator:
+            return
+        self.loop.call_later(TICK_S, lambda: self.tick(coordinator))
+        self.turn()
+
+    def plan_turn(self) -> None:
+        """Let the coordinator decide after the events of this turn."""
+        if not self.turn_planned:
+            self.turn_planned = True
+            self.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        """Let the coordinator decide now."""
+        self.turn_planned = False
+        coordinator = self.coordinator
+        if not coordinator:
+            return
+        coordinator.turn()
+        if coordinator.state.deposed:
+            self.election.resign(coordinator.state.deposed)
+
+    def replace_workers(self, items: list[KeyValue], revision: int) -> None:
+        """Take a full reading of the registry over."""
+        if not self.coordinator:
+            return
+        prefix = self.decoders.worker_prefix
+        names = {item.key.removeprefix(prefix) for item in items}
+        for worker in set(self.coordinator.state.registry) - names:
+            self.coordinator.unlist_worker(worker)
+        self.coordinator.state.registry_read = True
+        self.apply_workers(items, revision)
+
+    def apply_workers(self, items: list[KeyValue], revision: int) -> None:
+        """Take changes of the registry over."""
+        coordinator = self.coordinator
+        if not coordinator:
+            return
+        for item in items:
+            worker = item.key.removeprefix(self.decoders.worker_prefix)
+            if not item.create_revision:
+                coordinator.unlist_worker(worker)
+                continue
+            try:
+                entry = self.decoders.worker(worker, item.value)
+            except FieldError as error:
+                self.events.note("worker.unreadable", reason=str(error))
+                continue
+            coordinator.list_worker(entry)
+        self.plan_turn()
+
+    def remove_ended(self) -> None:
+        """Remove jobs from the store that ended long ago."""
+        now_s = self.loop.clock()
+        if not self.coordinator or now_s < self.remove_due_s:
+            return
+        self.remove_due_s = now_s + REMOVE_S
+        before_s = now_s - self.settings.jobs.retention_s
+        jobs = self.board.over(before_s, REMOVED_PER_TXN)
+        if jobs:
+            self.coordinator.ledger.remove(jobs).add_done_callback(
+                lambda done: done.exception()
+            )
+
+    # Callers.
+
+    def is_ready(self) -> bool:
+        """Return whether new callers should be sent here."""
+        answered_s = max(
+            self.job_feed.answered_s, self.operator_feed.answered_s
+        )
+        fresh = self.loop.clock() - answered_s < STORE_SILENCE_S
+        return bool(
+            self.manifest and self.board.filled and not self.draining and fresh
+        )
+
+    def route(self, host: str, path: str) -> Queue:
+        """Return the queue of a call.
+
+        :raises NotAcceptedNowError: if no manifest is known yet.
+        :raises NoQueueError: if there is none.
+        """
+        if not self.manifest:
+            raise NotAcceptedNowError("no_manifest", 1.0)
+        queue = self.manifest.route(host, path)
+        if not queue:
+            raise NoQueueError(f"no queue at {host}{path}")
+        return queue
+
+    def submit(
+        self, queue: Queue, job: str, spec: JobSpec, wait_s: float
+    ) -> Future:
+        """Accept a job; the outcome comes once it is stored.
+
+        :param wait_s: how long the caller waits.
+        :returns: None, or a :class:`JobError`.
+        """
+        outcome: Future = Future()
+        posting = self.board.postings.get(job)
+        if posting and posting.record:
+            outcome.set_result(None)
+            return outcome
+        now_s = self.loop.clock()
+        record = JobRecord(
+            job, queue, self.manifest.version, int(time.time() * 1000), spec
+        )
+        value = encode_record(record)
+        end_s = now_s + max(wait_s - ANSWER_MARGIN_S, 0.05)
+
+        def stored(done: Future) -> None:
+            error = done.exception()
+            self.events.note(
+                "job.submit",
+                job=job,
+                queue=queue.name,
+                pool=queue.pool,
+                version=self.manifest.version,
+                tasks=sum(step.count for step in spec.steps),
+                took_s=round(self.loop.clock() - now_s, 4),
+                outcome=str(error) if error else "stored",
+            )
+            self.count_answer("submit", error)
+            if error:
+                outcome.set_exception(error)
+                return
+            self.note_stored(job, record, done.result())
+            outcome.set_result(None)
+
+        created = self.acceptance.create(job_key(job), value, end_s)
+        created.add_done_callback(stored)
+        return outcome
+
+    def count_answer(self, what: str, error: BaseException | None) -> None:
+        """Count the answer to a caller."""
+        code = error.code if isinstance(error, JobError) else "ok"
+        self.metrics.incr(f"jobs.{what}.{code}")
+
+    def note_stored(self, job: str, record: JobRecord, stored: Stored) -> None:
+        """Put an accepted job on the board at once."""
+        posting = self.board.posting(job)
+        if posting.record is None:
+            if not stored.revision:
+                record = decode_record(stored.value, JobRecord, job_key(job))
+            posting.record = record
+            posting.revision = stored.revision
+        if self.coordinator and stored.revision:
+            self.coordinator.add_job(record, stored.revision)
+            self.plan_turn()
+
+    def state_of(self, queue: Queue, job: str) -> Future:
+        """Return the state of a job; a :class:`NoJobError` if none is."""
+        outcome: Future = Future()
+        posting = self.board.postings.get(job)
+        if posting and posting.record:
+            self.settle_state(queue, job, outcome)
+            return outcome
+
+        def read(done: Future) -> None:
+            if done.exception():
+                error = NotAcceptedNowError("store_unavailable", 0.5)
+                outcome.set_exception(error)
+                return
+            if done.result():
+                self.board.apply(done.result(), self.loop.clock())
+            self.settle_state(queue, job, outcome)
+
+        # This entry's watch may be behind.
+        self.ports.store.read(job_key(job)).add_done_callback(read)
+        return outcome
+
+    def settle_state(self, queue: Queue, job: str, outcome: Future) -> None:
+        """Answer with the state on the board."""
+        posting = self.board.postings.get(job)
+        if not posting or not posting.record:
+            outcome.set_exception(NoJobError(f"no job {job}"))
+        elif posting.record.queue.name != queue.name:
+            outcome.set_exception(NoJobError(f"no job {job} in this queue"))
+        else:
+            outcome.set_result(posting.state)
+
+    def cancel(self, queue: Queue, job: str, wait_s: float) -> Future:
+        """Cancel a job; the outcome comes once that is stored."""
+        outcome: Future = Future()
+        end_s = self.loop.clock() + max(wait_s - ANSWER_MARGIN_S, 0.05)
+
+        def known(done: Future) -> None:
+            if done.exception():
+                outcome.set_exception(done.exception())
+            elif done.result() in FINAL:
+                outcome.set_result(None)
+            else:
+                created = self.acceptance.create(cancel_key(job), b"1", end_s)
+                created.add_done_callback(stored)
+
+        def stored(done: Future) -> None:
+            error = done.exception()
+            self.events.note(
+                "job.cancel_asked",
+                job=job,
+                outcome=str(error) if error else "stored",
+            )
+            self.count_answer("cancel", error)
+            if error:
+                outcome.set_exception(error)
+                return
+            self.board.posting(job).cancelled = True
+            if self.coordinator:
+                self.coordinator.cancel_job(job)
+                self.plan_turn()
+            outcome.set_result(None)
+
+        self.state_of(queue, job).add_done_callback(known)
+        return outcome
+
+    def pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue wait for their first start."""
+        return self.board.pending(queue.name)
+
+    def drain(self) -> None:
+        """Send callers elsewhere and hand the term over."""
+        self.draining = True
+        self.events.note("entry.drain")
+        if self.election.term:
+            self.election.resign("the entry stops")
+        elif self.election.lease.id:
+            self.election.resign("the entry stops")
--- /dev/null
+++ b/cyclamenscale/jobs/job.py
@@ -0,0 +1,394 @@
+"""A job in the coordinator's memory: what is open, done and running.
+
+Pure: no input or output, and times are given.
+"""
+
+from typing import TYPE_CHECKING
+
+from cyclamenscale.jobs.model import (
+    CANCELLED,
+    DONE,
+    END_DONE,
+    END_FAILED,
+    FAILED,
+    FINAL,
+    QUEUED,
+    RUNNING,
+    JobRecord,
+    ProgressRecord,
+    Queue,
+    Step,
+    StepProgress,
+    task_name,
+)
+
+if TYPE_CHECKING:
+    from cyclamenscale.jobs.worker import Run
+
+#: Added to the stored highest run number after a takeover, since starts
+#: that were not stored may have used higher ones.
+TAKEOVER_RUN_GAP = 64
+
+#: A task whose estimate is missing counts as this long.
+ESTIMATE_DEFAULT_MS = 500.0
+
+
+class Task:
+    """One task.
+
+    :ivar failures: runs that ended failed.
+    :ivar runs: runs that are, or may be, on workers.
+    :ivar checkpoint: last progress saved, or empty.
+    :ivar avoid: workers on which it failed.
+    :ivar not_before_s: earliest next start, after repeated failures.
+    """
+
+    __slots__ = (
+        "avoid",
+        "checkpoint",
+        "done",
+        "failures",
+        "index",
+        "name",
+        "not_before_s",
+        "runs",
+        "step",
+    )
+
+    def __init__(self, step: "StepState", index: int):
+        """Start without runs."""
+        self.step = step
+        self.index = index
+        job = step.job.record.id
+        self.name = task_name(job, step.occurrence, step.number, index)
+        self.failures = 0
+        self.runs: list[Run] = []
+        self.checkpoint = ""
+        self.done = False
+        self.avoid: set[str] = set()
+        self.not_before_s = 0.0
+
+    @property
+    def job(self) -> "Job":
+        """Return the task's job."""
+        return self.step.job
+
+
+class StepState:
+    """One step of one occurrence.
+
+    :ivar waiting: tasks that have no run and are not done.
+    :ivar left: tasks that are not done.
+    """
+
+    __slots__ = (
+        "job",
+        "left",
+        "number",
+        "occurrence",
+        "spec",
+        "tasks",
+        "waiting",
+    )
+
+    def __init__(self, job: "Job", occurrence: int, number: int, spec: Step):
+        """Start with all tasks waiting."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.tasks = [Task(self, index) for index in range(spec.count)]
+        self.waiting = list(self.tasks)
+        self.left = spec.count
+
+    @property
+    def done(self) -> bool:
+        """Return whether all tasks are done."""
+        return not self.left
+
+    def away(self) -> int:
+        """Return how many tasks are not known to be at work."""
+        return sum(not any(r.at_work for r in t.runs) for t in self.tasks)
+
+
+class Occurrence:
+    """One occurrence of a job.
+
+    :ivar number: its number, from 0.
+    :ivar due_ms: wall-clock time from which it may start, 0 for at once.
+    """
+
+    __slots__ = ("due_ms", "number", "steps")
+
+    def __init__(self, job: "Job", number: int, due_ms: int):
+        """Make the states of all steps."""
+        self.number = number
+        self.due_ms = due_ms
+        self.steps = [
+            StepState(job, number, index, spec)
+            for index, spec in enumerate(job.record.spec.steps)
+        ]
+
+    @property
+    def done(self) -> bool:
+        """Return whether all steps are done."""
+        return all(step.done for step in self.steps)
+
+    def open_steps(self) -> list[StepState]:
+        """Return the steps that may run now and have waiting tasks."""
+        return [
+            step
+            for step in self.steps
+            if step.waiting
+            and all(self.steps[n].done for n in step.spec.after)
+        ]
+
+
+class Job:
+    """A job with its progress.
+
+    :param record: the job as stored.
+    :param queue: the queue that applies now.
+    :param seen_s: when this coordinator's clock first saw it, shifted to
+        the time of acceptance.
+    """
+
+    def __init__(self, record: JobRecord, queue: Queue, seen_s: float):
+        """Start without progress."""
+        self.record = record
+        self.queue = queue
+        self.seen_s = seen_s
+        self.state = QUEUED
+        self.cancelled = False
+        self.highest_run = 0
+        self.finished = 0
+        self.occurrences: dict[int, Occurrence] = {}
+        self.stored = ProgressRecord()
+        self.stored_revision = 0
+        self.dirty = False
+        #: Whether a run of it may be on a worker nobody has looked at.
+        self.unseen_until_s = 0.0
+        self.chain_ms = longest_chain_ms(record.spec.steps)
+        timing = record.spec.timing
+        self.times = timing.times if timing else 1
+        if not timing:
+            self.occurrences[0] = Occurrence(self, 0, 0)
+        self.due_s = seen_s + self.objective_s
+
+    @property
+    def lasting(self) -> bool:
+        """Return whether the job runs until it is cancelled."""
+        return any(step.lasting for step in self.record.spec.steps)
+
+    @property
+    def objective_s(self) -> float:
+        """Return the time within which the job should be done."""
+        chain_ms = self.chain_ms * self.queue.stretch
+        return (chain_ms + self.queue.target_ms) / 1000
+
+    @property
+    def ended(self) -> bool:
+        """Return whether nothing of it may start any more."""
+        return self.cancelled or self.state in FINAL
+
+    def restore(self, record: ProgressRecord, revision: int) -> None:
+        """Take over stored progress after a change of coordinator."""
+        self.stored = record
+        self.stored_revision = revision
+        self.state = record.state
+        self.highest_run = record.highest_run + TAKEOVER_RUN_GAP
+        self.finished = record.finished
+        for number, steps in record.occurrences:
+            occurrence = Occurrence(self, number, self.due_ms(number))
+            self.occurrences[number] = occurrence
+            for step, stored in zip(occurrence.steps, steps, strict=True):
+                restore_step(step, stored)
+        if not self.record.spec.timing and self.finished:
+            self.occurrences.clear()
+
+    def due_ms(self, number: int) -> int:
+        """Return the wall-clock time of an occurrence, 0 for at once."""
+        timing = self.record.spec.timing
+        if not timing:
+            return 0
+        return timing.first_ms + number * timing.interval_ms
+
+    def open_due(self, wall_ms: float) -> bool:
+        """Open the occurrences that are due.
+
+        :param wall_ms: wall-clock time.
+        :returns: whether one was opened.
+        """
+        timing = self.record.spec.timing
+        if not timing or self.ended:
+            return False
+        opened = False
+        number = self.finished + len(self.occurrences)
+        while number < timing.times and self.due_ms(number) <= wall_ms:
+            due_ms = self.due_ms(number)
+            self.occurrences[number] = Occurrence(self, number, due_ms)
+            opened = True
+            number += 1
+        return opened
+
+    def open_steps(self) -> list[StepState]:
+        """Return the steps of all occurrences that may run now."""
+        if self.ended:
+            return []
+        return [
+            step
+            for occurrence in self.occurrences.values()
+            for step in occurrence.open_steps()
+        ]
+
+    def remaining_ms(self) -> float:
+        """Return the longest chain of the steps that are not done."""
+        longest = 0.0
+        for occurrence in self.occurrences.values():
+            ends: list[float] = []
+            for step in occurrence.steps:
+                before = max((ends[n] for n in step.spec.after), default=0.0)
+                own_ms = step.spec.estimate_ms or ESTIMATE_DEFAULT_MS
+                ends.append(before + (0.0 if step.done else own_ms))
+            longest = max(longest, *ends)
+        return longest
+
+    def tasks(self) -> list[Task]:
+        """Return all tasks of the open occurrences."""
+        return [
+            task
+            for occurrence in self.occurrences.values()
+            for step in occurrence.steps
+            for task in step.tasks
+        ]
+
+    def find(self, occurrence: int, step: int, index: int) -> Task | None:
+        """Return a task of an open occurrence."""
+        found = self.occurrences.get(occurrence)
+        if not found or step >= len(found.steps):
+            return None
+        tasks = found.steps[step].tasks
+        return tasks[index] if index < len(tasks) else None
+
+    def next_run(self) -> int:
+        """Give out a run number that is higher than all before."""
+        self.highest_run += 1
+        return self.highest_run
+
+    def begin(self) -> None:
+        """Note that a task was started."""
+        if self.state == QUEUED:
+            self.state = RUNNING
+            self.dirty = True
+
+    def note_end(self, task: Task, how: str, checkpoint: str) -> None:
+        """Note the end of a run of a task; its run is already removed.
+
+        :param how: one of the ways in which a run ends.
+        :param checkpoint: last progress saved, or empty.
+        """
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if task.done or self.state in FINAL:
+            return
+        lasting = task.step.spec.lasting
+        if how == END_DONE and not lasting:
+            self.mark_done(task)
+        elif how == END_FAILED:
+            task.failures += 1
+            self.dirty = True
+            if not lasting and task.failures >= self.queue.attempts:
+                self.state = FAILED
+        if not task.done and not task.runs:
+            self.wait(task)
+
+    def wait(self, task: Task) -> None:
+        """Put a task back among the waiting ones."""
+        if task not in task.step.waiting:
+            task.step.waiting.append(task)
+
+    def mark_done(self, task: Task) -> None:
+        """Note that a task is done, and what follows for the job."""
+        step = task.step
+        task.done = True
+        step.left -= 1
+        if task in step.waiting:
+            step.waiting.remove(task)
+        self.dirty = True
+        occurrence = self.occurrences[step.occurrence]
+        if not occurrence.done:
+            return
+        del self.occurrences[step.occurrence]
+        self.finished += 1
+        if self.finished >= self.times:
+            self.state = DONE
+
+    def cancel(self) -> None:
+        """Note the caller's cancellation."""
+        if not self.ended:
+            self.cancelled = True
+
+    def finish_cancel(self) -> None:
+        """Note that nothing of a cancelled job runs any more."""
+        if self.cancelled and self.state not in FINAL:
+            self.state = CANCELLED
+            self.dirty = True
+
+    def progress(self) -> ProgressRecord:
+        """Return the progress to store."""
+        occurrences = ()
+        if self.state not in FINAL:
+            occurrences = tuple(
+                (number, tuple(map(step_progress, found.steps)))
+                for number, found in self.occurrences.items()
+            )
+        return ProgressRecord(
+            self.state, self.highest_run, occurrences, self.finished
+        )
+
+
+def restore_step(step: StepState, stored: StepProgress) -> None:
+    """Put stored progress into a fresh step."""
+    for index, count in stored.failures:
+        step.tasks[index].failures = count
+    for index, checkpoint in stored.checkpoints:
+        step.tasks[index].checkpoint = checkpoint
+    for task in step.tasks:
+        if stored.done >> task.index & 1:
+            task.done = True
+            step.left -= 1
+    step.waiting = [task for task in step.tasks if not task.done]
+
+
+def step_progress(step: StepState) -> StepProgress:
+    """Return the progress of a step to store."""
+    done = 0
+    for task in step.tasks:
+        if task.done:
+            done |= 1 << task.index
+    lasting = step.spec.lasting
+    return StepProgress(
+        done,
+        tuple(
+            (task.index, task.failures)
+            for task in step.tasks
+            if task.failures and not task.done and not lasting
+        ),
+        tuple(
+            (task.index, task.checkpoint)
+            for task in step.tasks
+            if task.checkpoint and not task.done
+        ),
+    )
+
+
+def longest_chain_ms(steps: tuple[Step, ...]) -> float:
+    """Return the longest chain of estimated task times.
+
+    :raises IndexError: if a step is after a later one.
+    """
+    ends: list[float] = []
+    for step in steps:
+        before = max((ends[n] for n in step.after), default=0.0)
+        ends.append(before + (step.estimate_ms or ESTIMATE_DEFAULT_MS))
+    return max(ends, default=0.0)
--- /dev/null
+++ b/cyclamenscale/jobs/leadership.py
@@ -0,0 +1,48 @@
+"""Who coordinates: the holder of one key under a lease of the store.
+
+Pure: the entry carries the calls out and tells their outcome. A lease runs
+from the arrival of the call that renews it, so it is proved for its time
+from before that call was sent.
+"""
+
+from cyclamenscale.util.clock import Clock
+
+#: Part of the lease that is not relied on, for clocks that differ in rate.
+MARGIN_SHARE = 0.1
+
+
+class Lease:
+    """A lease of the store and until when it is proved.
+
+    :param clock: seconds that go on during a suspension.
+    """
+
+    def __init__(self, clock: Clock):
+        """Start without a lease."""
+        self.clock = clock
+        self.id = 0
+        self.ttl_s = 0.0
+        self.proved_until_s = -1e9
+
+    def granted(self, lease: int, ttl_s: float, sent_s: float) -> None:
+        """Note a lease that was granted."""
+        self.id = lease
+        self.ttl_s = ttl_s
+        self.proved_until_s = sent_s + ttl_s * (1 - MARGIN_SHARE)
+
+    def renewed(self, sent_s: float) -> None:
+        """Note a renewal that was answered.
+
+        :param sent_s: when it was sent.
+        """
+        until_s = sent_s + self.ttl_s * (1 - MARGIN_SHARE)
+        self.proved_until_s = max(self.proved_until_s, until_s)
+
+    def lost(self) -> None:
+        """Note that the store no longer has it."""
+        self.id = 0
+        self.proved_until_s = -1e9
+
+    def is_proved(self) -> bool:
+        """Return whether the lease surely holds now."""
+        return bool(self.id) and self.clock() < self.proved_until_s
--- /dev/null
+++ b/cyclamenscale/jobs/machines.py
@@ -0,0 +1,409 @@
+"""Upkeep of machines and their moves between pools.
+
+A machine is emptied first: nothing new starts on it, short tasks end, and
+lasting tasks are interrupted only as far as their steps allow. Orders that
+had no answer are repeated; the platform accepts one that is already done.
+"""
+
+from concurrent.futures import Future
+from typing import NamedTuple
+
+from cyclamenscale.jobs.capacity import Capacity
+from cyclamenscale.jobs.model import Machine, Wave
+from cyclamenscale.jobs.orders import Orders
+from cyclamenscale.jobs.placement import Placement
+from cyclamenscale.jobs.ports import MachineCalls
+from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.worker import STOPPING, Worker
+
+#: Time between reads of the list of machines.
+LIST_S = 1.0
+LIST_BUSY_S = 0.4
+
+#: Pause before an order that was refused or not answered is repeated.
+RETRY_S = 0.3
+
+#: Added to the time for which another holder's orders exclude ours.
+HOLDER_MARGIN_S = 0.3
+
+#: A move is given up if its machine is not empty by then.
+MOVE_PATIENCE_S = 4.0
+
+
+class Operation:
+    """An upkeep or a move of one machine.
+
+    :ivar wave: number of the wave, 0 for a move.
+    :ivar pool: target of a move, or empty.
+    :ivar ordered: whether an order was sent.
+    :ivar carried_out: whether the platform said that it was done.
+    """
+
+    def __init__(self, machine: Machine, now_s: float, wave=0, pool=""):
+        """Start emptying the machine."""
+        self.machine = machine
+        self.wave = wave
+        self.pool = pool
+        self.since_s = now_s
+        self.retry_s = now_s
+        self.in_flight = False
+        self.ordered = False
+        self.carried_out = False
+        self.done_s = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return what it is, for logs and as the reason of a cordon."""
+        return f"upkeep {self.wave}" if self.wave else f"move to {self.pool}"
+
+
+class WaveState(NamedTuple):
+    """Progress of a wave.
+
+    :ivar wave: the wave.
+    :ivar end_s: when all should be done.
+    :ivar done: machines that have begun their upkeep.
+    :ivar reported: set of the states that were reported.
+    """
+
+    wave: Wave
+    end_s: float
+    done: set[str]
+    reported: set[str]
+
+
+class Machines:
+    """Carries out upkeep and moves.
+
+    :param state: shared knowledge.
+    :param calls: the platform's machines.
+    :param orders: stops lasting runs.
+    :param placement: tells the backlog.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        calls: MachineCalls,
+        orders: Orders,
+        placement: Placement,
+    ):
+        """Start without knowledge of machines."""
+        self.state = state
+        self.calls = calls
+        self.orders = orders
+        self.machines: dict[str, Machine] = {}
+        self.listed_s = -1e9
+        self.list_in_flight = False
+        self.list_due_s = 0.0
+        self.operations: dict[str, Operation] = {}
+        self.waves: dict[int, WaveState] = {}
+        self.report_in_flight = False
+        self.capacity = Capacity(state, placement)
+
+    def set_wave(self, wave: Wave, age_s: float = 0.0) -> None:
+        """Take a requested wave on.
+
+        :param age_s: time since the request, as far as it is known.
+        """
+        if wave.number not in self.waves:
+            end_s = self.state.clock() + wave.duration_s - age_s
+            self.waves[wave.number] = WaveState(wave, end_s, set(), set())
+            self.state.events.note(
+                "wave.requested",
+                wave=wave.number,
+                machines=len(wave.machines),
+                limit=wave.limit,
+                duration_s=wave.duration_s,
+            )
+
+    def may_order(self, now_s: float) -> bool:
+        """Return whether orders of an earlier holder are surely over."""
+        jobs = self.state.settings.jobs
+        pause_s = jobs.holder_pause_ms / 1000 + HOLDER_MARGIN_S
+        since_s = now_s - self.state.term.began_s
+        return self.state.proven() and since_s > pause_s
+
+    def run(self, now_s: float) -> None:
+        """Decide on everything that has a time."""
+        self.read_list(now_s)
+        if self.listed_s < 0:
+            return
+        for operation in list(self.operations.values()):
+            self.advance(operation, now_s)
+        for wave in self.waves.values():
+            self.run_wave(wave, now_s)
+        self.run_moves(now_s)
+
+    def read_list(self, now_s: float) -> None:
+        """Read the list when it is due."""
+        if self.list_in_flight or now_s < self.list_due_s:
+            return
+        self.list_in_flight = True
+        self.list_due_s = now_s + (LIST_BUSY_S if self.operations else LIST_S)
+
+        def answered(done: Future) -> None:
+            self.list_in_flight = False
+            if done.exception() or done.result() is None:
+                self.state.metrics.incr("jobs.machine_lists_failed")
+                return
+            self.machines = {m.name: m for m in done.result()}
+            self.listed_s = now_s
+
+        self.calls.list_machines().add_done_callback(answered)
+
+    def worker_of(self, machine: Machine) -> Worker | None:
+        """Return the worker that runs on a machine, if it is known."""
+        return self.state.workers.get(machine.worker)
+
+    def run_wave(self, progress: WaveState, now_s: float) -> None:
+        """Start upkeep of a wave's machines as far as its limit allows."""
+        wave = progress.wave
+        if "completed" in progress.reported:
+            return
+        self.report(progress, "active")
+        down = 0
+        ready = []
+        left = 0
+        for name in wave.machines:
+            machine = self.machines.get(name)
+            if not machine:
+                continue
+            operation = self.operations.get(name)
+            if machine.state == "upkeep" or (
+                operation and operation.wave == wave.number
+            ):
+                down += 1
+            if name in progress.done:
+                continue
+            left += 1
+            if machine.up and not operation:
+                ready.append(machine)
+        ready.sort(key=self.load_of)
+        # One more than may be down is emptied ahead.
+        for machine in ready[: max(wave.limit + 1 - down, 0)]:
+            self.begin(Operation(machine, now_s, wave=wave.number))
+        if not left and not down and self.listed_s > 0:
+            self.report(progress, "completed")
+
+    def load_of(self, machine: Machine) -> tuple:
+        """Return how much runs on a machine, lasting tasks first."""
+        worker = self.worker_of(machine)
+        if not worker:
+            return (0, 0.0)
+        lasting = sum(
+            run.task is not None and run.task.step.spec.lasting
+            for run in worker.runs.values()
+        )
+        return (lasting, worker.used.processors)
+
+    def begin(self, operation: Operation) -> None:
+        """Start emptying a machine."""
+        name = operation.machine.name
+        self.operations[name] = operation
+        worker = self.worker_of(operation.machine)
+        if worker:
+            worker.cordoned = operation.name
+        self.state.events.note(
+            "machine.emptying",
+            machine=name,
+            why=operation.name,
+            worker=operation.machine.worker,
+            runs=len(worker.runs) if worker else 0,
+        )
+
+    def advance(self, operation: Operation, now_s: float) -> None:
+        """Take an operation to its next step."""
+        name = operation.machine.name
+        machine = self.machines.get(name)
+        if operation.carried_out:
+            back = machine and machine.up and self.listed_s > operation.done_s
+            if not machine or back:
+                self.operations.pop(name, None)
+            return
+        if machine is None or (not machine.up and not operation.ordered):
+            self.give_up(operation, "the machine is not up")
+            return
+        if operation.in_flight or now_s < operation.retry_s:
+            return
+        if operation.ordered and not machine.up:
+            # The order was carried out although its answer was lost.
+            self.carry_out(operation)
+            return
+        if not self.may_order(now_s):
+            return
+        if operation.wave and not operation.ordered:
+            if self.down_count(operation.wave) >= self.limit(operation.wave):
+                return
+        worker = self.worker_of(operation.machine)
+        if operation.ordered or not worker or worker.gone:
+            self.order(operation, now_s)
+            return
+        if self.is_empty(operation, worker, now_s):
+            self.order(operation, now_s)
+        elif not operation.wave and (
+            now_s - operation.since_s > MOVE_PATIENCE_S
+        ):
+            self.give_up(operation, "it did not become empty")
+
+    def limit(self, wave: int) -> int:
+        """Return how many machines of a wave may be down at once."""
+        return self.waves[wave].wave.limit if wave in self.waves else 0
+
+    def down_count(self, wave: int) -> int:
+        """Return how many machines of a wave are, or may be, down."""
+        progress = self.waves.get(wave)
+        names = progress.wave.machines if progress else ()
+        count = 0
+        for name in names:
+            operation = self.operations.get(name)
+            machine = self.machines.get(name)
+            ordered = operation and operation.ordered and operation.wave
+            if ordered or (machine and machine.state == "upkeep"):
+                count += 1
+        return count
+
+    def is_empty(
+        self, operation: Operation, worker: Worker, now_s: float
+    ) -> bool:
+        """Return whether a machine may be taken away now."""
+        if worker.failed_looks or worker.fence != self.state.term.fence:
+            # Nothing is known of it; it may be silent for a while only.
+            return False
+        patience_s = self.state.settings.jobs.empty_s
+        waited = now_s - operation.since_s > patience_s
+        for run in worker.runs.values():
+            lasting = run.task and run.task.step.spec.lasting
+            if not lasting and run.phase != STOPPING:
+                if not (waited and operation.wave):
+                    return False
+        return self.may_interrupt(worker)
+
+    def may_interrupt(self, worker: Worker) -> bool:
+        """Return whether the lasting tasks on a worker may be away."""
+        steps: dict = {}
+        for run in worker.runs.values():
+            if run.task and run.task.step.spec.lasting:
+                step = run.task.step
+                steps[step] = steps.get(step, 0) + bool(run.at_work)
+        return all(
+            not step.spec.away_limit
+            or step.away() + here <= step.spec.away_limit
+            or not here
+            for step, here in steps.items()
+        )
+
+    def order(self, operation: Operation, now_s: float) -> None:
+        """Send the order of an operation, the first time or again."""
+        state = self.state
+        operation.ordered = True
+        operation.in_flight = True
+        operation.retry_s = now_s + RETRY_S
+        term = state.term
+        name = operation.machine.name
+        if operation.wave:
+            answer = self.calls.upkeep(
+                name, operation.wave, term.node, term.fence
+            )
+        else:
+            answer = self.calls.move(
+                name, operation.pool, term.node, term.fence
+            )
+        answer.add_done_callback(lambda done: self.answered(operation, done))
+
+    def answered(self, operation: Operation, done: Future) -> None:
+        """Take the answer to an order."""
+        state = self.state
+        operation.in_flight = False
+        reason = str(done.exception() or done.result())
+        name = operation.machine.name
+        worker = self.worker_of(operation.machine)
+        state.events.note(
+            "machine.ordered",
+            machine=name,
+            what=operation.name,
+            outcome=reason or "carried out",
+            runs=len(worker.runs) if worker else 0,
+            fence=state.term.fence,
+        )
+        if done.exception():
+            return
+        if reason == "busy" and self.machines.get(name):
+            # It may be an earlier order that is being carried out.
+            return
+        if reason and not operation.wave:
+            self.give_up(operation, reason)
+            return
+        if reason:
+            if reason == "wave":
+                self.waves[operation.wave].done.add(name)
+            self.give_up(operation, reason)
+            return
+        self.carry_out(operation)
+
+    def carry_out(self, operation: Operation) -> None:
+        """Note that an operation is carried out; its runs have ended."""
+        operation.carried_out = True
+        operation.done_s = self.state.clock()
+        self.state.metrics.incr("jobs.machine_orders")
+        worker = self.worker_of(operation.machine)
+        if worker:
+            worker.gone = True
+            self.state.touch()
+        if operation.wave and operation.wave in self.waves:
+            done = self.waves[operation.wave].done
+            done.add(operation.machine.name)
+
+    def give_up(self, operation: Operation, why: str) -> None:
+        """End an operation that will not be carried out."""
+        self.operations.pop(operation.machine.name, None)
+        worker = self.worker_of(operation.machine)
+        if worker:
+            worker.cordoned = ""
+        self.state.events.note(
+            "machine.given_up",
+            machine=operation.machine.name,
+            what=operation.name,
+            why=why,
+        )
+
+    def report(self, progress: WaveState, status: str) -> None:
+        """Tell the platform of a wave's progress."""
+        if status in progress.reported or self.report_in_flight:
+            return
+        if not self.state.proven():
+            return
+        self.report_in_flight = True
+
+        def answered(done: Future) -> None:
+            self.report_in_flight = False
+            if not done.exception():
+                progress.reported.add(status)
+                self.state.events.note(
+                    "wave.reported",
+                    wave=progress.wave.number,
+                    state=status,
+                    left_s=round(progress.end_s - self.state.clock(), 1),
+                )
+
+        completed = status == "completed"
+        answer = self.calls.report_wave(
+            progress.wave.number, completed, self.state.term.fence
+        )
+        answer.add_done_callback(answered)
+
+    def run_moves(self, now_s: float) -> None:
+        """Start moves that pay."""
+        if not self.may_order(now_s):
+            return
+        due = {
+            name
+            for progress in self.waves.values()
+            for name in progress.wave.machines
+            if name not in progress.done
+        }
+        busy = set(self.operations) | due
+        for machine, pool in self.capacity.moves(
+            self.machines, busy, self.operations, now_s
+        ):
+            self.begin(Operation(machine, now_s, pool=pool))
--- /dev/null
+++ b/cyclamenscale/jobs/state.py
@@ -0,0 +1,111 @@
+"""What a coordinator knows, shared by the parts that decide."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cyclamenscale.jobs.job import Job
+from cyclamenscale.jobs.model import Manifest, Queue, WorkerEntry
+from cyclamenscale.jobs.worker import (
+    CLOCK_SLOWNESS,
+    LAPSE_MARGIN_S,
+    Worker,
+)
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.clock import Clock
+from cyclamenscale.util.events import EventLog
+
+
+class Term(NamedTuple):
+    """A period in which this entry coordinates.
+
+    :ivar node: name of this entry.
+    :ivar fence: revision of the leader's key, the fencing token.
+    :ivar began_s: when it was won.
+    """
+
+    node: str
+    fence: int
+    began_s: float
+
+
+class State:
+    """Jobs, workers and the manifest during one term.
+
+    :param settings: the whole settings.
+    :param term: the term.
+    :param manifest: the operators' configuration.
+    :param clock: seconds that go on during a suspension.
+    :param wall: wall-clock seconds.
+    :param proven: whether this entry surely leads now.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        term: Term,
+        manifest: Manifest,
+        clock: Clock,
+        wall: Clock,
+        proven: Callable[[], bool],
+        events: EventLog,
+        metrics: Metrics,
+    ):
+        """Start without jobs and workers."""
+        self.settings = settings
+        self.term = term
+        self.manifest = manifest
+        self.clock = clock
+        self.wall = wall
+        self.proven = proven
+        self.events = events
+        self.metrics = metrics
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        #: Workers as they register themselves, by id.
+        self.registry: dict[str, WorkerEntry] = {}
+        self.registry_read = False
+        #: Pools in which something may be placed.
+        self.changed = True
+        #: Set once the platform refused an order because of the fence.
+        self.deposed = ""
+
+    def queue_of(self, stored: Queue, version: int) -> Queue:
+        """Return the queue that applies to a job.
+
+        :param stored: the queue at its acceptance.
+        :param version: version of the manifest that it is from.
+        """
+        if self.manifest.version < version:
+            return stored
+        return self.manifest.queues.get(stored.name, stored)
+
+    def guarded(self, pool: str) -> bool:
+        """Return whether a pool's workers refuse what does not fit."""
+        known = self.manifest.pools.get(pool)
+        return known.guarded if known else False
+
+    def touch(self) -> None:
+        """Note that a placement may have become possible."""
+        self.changed = True
+
+    @property
+    def hold_s(self) -> float:
+        """Return the length of a hold."""
+        jobs = self.settings.jobs
+        return min(jobs.hold_s, jobs.max_hold_ms / 1000)
+
+    @property
+    def takeover_end_s(self) -> float:
+        """Return when holds of earlier terms have certainly run out."""
+        slow_s = self.hold_s / CLOCK_SLOWNESS
+        return self.term.began_s + slow_s + LAPSE_MARGIN_S
+
+    def unseen_workers(self, pool: str) -> bool:
+        """Return whether a listed worker of a pool was not looked at."""
+        return not self.registry_read or any(
+            worker.entry.pool == pool
+            and worker.fence != self.term.fence
+            and not worker.gone
+            for worker in self.workers.values()
+        )
--- /dev/null
+++ b/cyclamenscale/jobs/worker.py
@@ -0,0 +1,209 @@
+"""The coordinator's belief about one worker.
+
+A run is dropped only once it is certain that it has ended: the worker
+listed its end, the worker answers from a later life, or its hold has run
+out on the worker's own clock. Pure: times are given.
+"""
+
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.jobs.job import Task
+from cyclamenscale.jobs.model import RunReport, WorkerEntry
+
+#: A worker's clock may be this much slow (the platform's figure is 2%).
+CLOCK_SLOWNESS = 0.97
+
+#: Time for a worker to kill what runs when its hold ends.
+LAPSE_MARGIN_S = 0.3
+
+#: Rounding of sums of resources.
+EPSILON = 1e-6
+
+#: Phases of a run.
+STARTING = "starting"
+DOUBTFUL = "doubtful"
+RUNNING = "running"
+STOPPING = "stopping"
+
+
+class Run:
+    """A run that is, or may be, on a worker.
+
+    :ivar task: its task, None if the job is unknown or has ended.
+    :ivar phase: what was ordered and answered.
+    :ivar confirmed_ms: worker's clock when it last showed it, or stopped it.
+    :ivar percent: share of the work done, as last shown.
+    :ivar progress_s: when the share last changed.
+    :ivar tries: starts or stops sent without an answer.
+    :ivar in_flight: whether an order for it has no answer yet.
+    """
+
+    __slots__ = (
+        "confirmed_ms",
+        "fills",
+        "in_flight",
+        "name",
+        "need",
+        "number",
+        "paced",
+        "percent",
+        "phase",
+        "progress_s",
+        "started_s",
+        "task",
+        "tries",
+        "usage",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        number: int,
+        task: Task | None,
+        worker: "Worker",
+        now_s: float,
+    ):
+        """Start as ordered but not answered."""
+        self.name = name
+        self.number = number
+        self.task = task
+        self.worker = worker
+        spec = task.step.spec if task else None
+        self.need = spec.need if spec else Resources()
+        self.fills = bool(spec and spec.fills)
+        self.phase = STARTING
+        self.started_s = now_s
+        self.confirmed_ms = 0
+        self.percent = 0.0
+        self.progress_s = now_s
+        self.usage = 0.0
+        self.paced = 100
+        self.tries = 0
+        self.in_flight = False
+
+    @property
+    def at_work(self) -> bool:
+        """Return whether a lasting task's run was last shown at work."""
+        return self.phase == RUNNING and self.percent >= 100
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return the key of the run on its worker."""
+        return self.name, self.number
+
+
+class Worker:
+    """One life of a worker.
+
+    :ivar fence: fencing token that it has confirmed, 0 before that.
+    :ivar deadline_ms: latest end of hold that it may have been given.
+    :ivar applied: number of the last end that was applied.
+    :ivar acknowledged: number of the last end whose effect is stored.
+    :ivar listed: whether the registry shows it.
+    :ivar cordoned: reason why nothing may be started on it, or empty.
+    :ivar blocked_until_s: no starts before this time.
+    :ivar demerits: failed runs since the last that was done.
+    """
+
+    def __init__(self, entry: WorkerEntry, now_s: float):
+        """Start without knowledge of its runs."""
+        self.entry = entry
+        self.fence = 0
+        self.clock_ms = 0
+        self.clock_at_s = 0.0
+        self.deadline_ms = 0
+        self.first_seen_s = now_s
+        self.answered_s = -1e9
+        self.failed_looks = 0
+        self.look_in_flight = False
+        self.look_due_s = now_s
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.applied = 0
+        self.acknowledged = 0
+        self.listed = True
+        self.unlisted_s = 0.0
+        self.cordoned = ""
+        self.blocked_until_s = 0.0
+        self.demerits = 0
+        self.failed_jobs: set[str] = set()
+        self.orders_in_flight = 0
+        self.used = Resources()
+        self.gone = False
+
+    @property
+    def id(self) -> str:
+        """Return the id of the worker."""
+        return self.entry.id
+
+    def now_ms(self, now_s: float) -> float:
+        """Return a lower bound of the worker's clock."""
+        passed_s = (now_s - self.clock_at_s) * CLOCK_SLOWNESS
+        return self.clock_ms + passed_s * 1000
+
+    def note_clock(self, clock_ms: int, now_s: float) -> None:
+        """Note the clock in an answer that has just arrived."""
+        if clock_ms and clock_ms >= self.now_ms(now_s):
+            self.clock_ms = clock_ms
+            self.clock_at_s = now_s
+
+    def lapse_s(self) -> float:
+        """Return when its last hold has certainly run out."""
+        left_ms = self.deadline_ms - self.clock_ms
+        return (
+            self.clock_at_s + left_ms / 1000 / CLOCK_SLOWNESS + LAPSE_MARGIN_S
+        )
+
+    def add(self, run: Run) -> None:
+        """Count a run and its resources."""
+        self.runs[run.key] = run
+        self.count_used()
+
+    def remove(self, run: Run) -> None:
+        """Drop a run that has certainly ended."""
+        self.runs.pop(run.key, None)
+        if run.task and run in run.task.runs:
+            run.task.runs.remove(run)
+        self.count_used()
+
+    def count_used(self) -> None:
+        """Add up what the runs use; filling ones count their memory."""
+        processors = memory = 0.0
+        accelerators = 0
+        for run in self.runs.values():
+            if not run.fills:
+                processors += run.need.processors
+            memory += run.need.memory_gb
+            accelerators += run.need.accelerators
+        self.used = Resources(processors, memory, accelerators)
+
+    def has_room(self, need: Resources, fills: bool) -> bool:
+        """Return whether a task fits beside the runs."""
+        capacity = self.entry.capacity
+        used = self.used
+        return (
+            (
+                fills
+                or used.processors + need.processors
+                <= capacity.processors + EPSILON
+            )
+            and used.memory_gb + need.memory_gb <= capacity.memory_gb + EPSILON
+            and used.accelerators + need.accelerators <= capacity.accelerators
+        )
+
+    @property
+    def free_share(self) -> float:
+        """Return the share of its processors that is not set aside."""
+        capacity = self.entry.capacity.processors
+        return 1 - self.used.processors / capacity if capacity else 0.0
+
+    def update_run(self, run: Run, shown: RunReport, clock_ms: int, now_s):
+        """Note what the worker shows of a run."""
+        if run.phase in (STARTING, DOUBTFUL):
+            run.phase = RUNNING
+        run.confirmed_ms = max(run.confirmed_ms, clock_ms)
+        if shown.percent != run.percent:
+            run.percent = shown.percent
+            run.progress_s = now_s
+        run.usage = shown.usage
+        if shown.checkpoint and run.task:
+            run.task.checkpoint = shown.checkpoint
--- /dev/null
+++ b/cyclamenscale/platform/decode.py
@@ -0,0 +1,285 @@
+"""Decodes the platform's bodies into the project's types.
+
+Bodies come from other writers too; a value of the wrong type is a
+:class:`cyclamenscale.errors.FieldError` that names the field.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from cyclamenscale.errors import BadJobError, FieldError
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.jobs.model import (
+    Advice,
+    EndReport,
+    JobSpec,
+    Machine,
+    Manifest,
+    Pool,
+    Queue,
+    RunReport,
+    Step,
+    Timing,
+    Wave,
+    WorkerEntry,
+    WorkerReport,
+)
+from cyclamenscale.util.codec import from_json
+
+T = TypeVar("T")
+
+#: Longest payload of a job, by the platform's page.
+PAYLOAD_LIMIT_BYTES = 4000
+
+#: Most tasks of a step that are kept in memory.
+TASKS_LIMIT = 10000
+STEPS_LIMIT = 100
+
+MEMORY_PER_GB = 1024
+CPU_PER_PROCESSOR = 1000
+
+
+def field(
+    table: Any, name: str, kind: type | tuple, where: str, default: Any = None
+) -> Any:
+    """Return a field of a table, checked.
+
+    :param default: returned if the field is absent or null; None if it is
+        required.
+    :raises FieldError: if it is absent or of another type.
+    """
+    if not isinstance(table, dict):
+        raise FieldError(where, table, "an object")
+    value = table.get(name)
+    if value is None:
+        if default is None:
+            raise FieldError(f"{where}.{name}", None, "a value")
+        return default
+    if isinstance(value, bool) and kind is not bool:
+        raise FieldError(f"{where}.{name}", value, "no truth value")
+    if not isinstance(value, kind):
+        raise FieldError(f"{where}.{name}", value, str(kind))
+    return value
+
+
+NUMBER = (int, float)
+
+
+def rows(table: Any, name: str, where: str) -> list:
+    """Return a field that is a list, empty if absent."""
+    return field(table, name, list, where, [])
+
+
+def resources(table: Any, where: str) -> Resources:
+    """Decode an amount of resources, in thousandths of a core and MB."""
+    cpu = field(table, "cpu", NUMBER, where, 0)
+    memory = field(table, "mem-mb", NUMBER, where, 0)
+    gpu = field(table, "gpu", NUMBER, where, 0)
+    if min(cpu, memory, gpu) < 0:
+        raise FieldError(where, table, "amounts of at least 0")
+    return Resources(cpu / CPU_PER_PROCESSOR, memory / MEMORY_PER_GB, int(gpu))
+
+
+def manifest(data: bytes) -> Manifest:
+    """Decode the operators' configuration.
+
+    :raises FieldError: if it can't be read.
+    """
+    where = "manifest"
+    table = from_json(data, where)
+    queues = [queue(row) for row in rows(table, "routes", where)]
+    pools = [pool(row) for row in rows(table, "services", where)]
+    limits = field(table, "limits", dict, where, {})
+    return Manifest(
+        field(table, "version", int, where),
+        {found.name: found for found in queues},
+        {found.name: found for found in pools},
+        field(limits, "max-body-bytes", int, where, 262144),
+    )
+
+
+def queue(row: Any) -> Queue:
+    """Decode a route, which is a queue."""
+    where = "route"
+    advice = field(row, "advice", dict, where, {})
+    return Queue(
+        field(row, "name", str, where),
+        field(row, "host", str, where),
+        field(row, "prefix", str, where),
+        field(row, "service", str, where),
+        field(row, "priority", int, where, 0),
+        field(row, "attempts", int, where, 1),
+        float(field(row, "stretch", NUMBER, where, 1.0)),
+        float(field(row, "target-latency-ms", NUMBER, where, 1000.0)),
+        Advice(
+            float(field(advice, "decision-ms", NUMBER, where, 0)),
+            float(field(advice, "period-ms", NUMBER, where, 0)),
+            float(field(advice, "validity-ms", NUMBER, where, 1000)),
+        )
+        if advice
+        else None,
+    )
+
+
+def pool(row: Any) -> Pool:
+    """Decode a service, which is a pool."""
+    where = "service"
+    return Pool(
+        field(row, "name", str, where),
+        field(row, "admission-check", bool, where, False),
+        field(row, "standby", bool, where, False),
+    )
+
+
+def wave(data: bytes) -> Wave:
+    """Decode a wave of upkeep."""
+    where = "wave"
+    table = from_json(data, where)
+    return Wave(
+        field(table, "wave", int, where),
+        tuple(str(name) for name in rows(table, "machines", where)),
+        float(field(table, "duration-s", NUMBER, where, 60)),
+        max(field(table, "max-count", int, where, 1), 1),
+    )
+
+
+def worker_entry(worker: str, data: bytes) -> WorkerEntry:
+    """Decode a worker's registration.
+
+    :raises FieldError: if it names no worker to use.
+    """
+    where = f"servers/{worker}"
+    table = from_json(data, where)
+    state = field(table, "state", str, where)
+    if state not in ("ready", "draining"):
+        raise FieldError(f"{where}.state", state, "ready or draining")
+    address = field(table, "address", str, where)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise FieldError(f"{where}.address", address, "HOST:PORT")
+    labels = tuple(map(str, rows(table, "labels", where)))
+    return WorkerEntry(
+        worker,
+        int(field(table, "born", NUMBER, where, 0)),
+        field(table, "service", str, where),
+        address,
+        field(table, "zone", str, where, ""),
+        labels[1] if len(labels) > 1 else "",
+        labels,
+        resources(field(table, "capacity", dict, where), f"{where}.capacity"),
+        state == "draining",
+        float(field(table, "remaining-ms", NUMBER, where, 0)),
+    )
+
+
+def worker_report(data: bytes) -> WorkerReport:
+    """Decode a worker's lists of runs and ends."""
+    where = "hold"
+    table = from_json(data, where)
+    try:
+        runs = tuple(
+            RunReport(row[0], int(row[1]), row[2] or "", float(row[3]), *rest)
+            for row in rows(table, "running", where)
+            for rest in ([float(row[4])] if len(row) > 4 else [],)
+        )
+        ends = tuple(
+            EndReport(int(row[0]), row[1], int(row[2]), row[3], row[4] or "")
+            for row in rows(table, "ended", where)
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        raise FieldError(where, str(error), "rows of the known form") from None
+    return WorkerReport(
+        int(field(table, "clock-ms", NUMBER, where)),
+        int(field(table, "born", NUMBER, where, 0)),
+        runs,
+        tuple(sorted(ends)),
+    )
+
+
+def machines(data: bytes) -> tuple[list[Machine], Any]:
+    """Decode a page of machines.
+
+    :returns: the machines, and the token of the next page or None.
+    """
+    where = "machines"
+    table = from_json(data, where)
+    found = []
+    for row in rows(table, "machines", where):
+        state = field(row, "state", str, where)
+        labels = rows(row, "labels", where)
+        found.append(
+            Machine(
+                field(row, "machine", str, where),
+                field(row, "pool", str, where),
+                state == "up",
+                state,
+                field(row, "id", str, where, ""),
+                str(labels[1]) if len(labels) > 1 else "",
+            )
+        )
+    return found, table.get("next-token")
+
+
+def job_spec(data: bytes) -> JobSpec:
+    """Decode a job that a caller hands in.
+
+    :raises BadJobError: if it is malformed.
+    """
+    try:
+        return checked_spec(from_json(data, "job"))
+    except FieldError as error:
+        raise BadJobError(error.field, error.found, error.allowed) from None
+
+
+def checked_spec(table: Any) -> JobSpec:
+    """Decode the parts of a job."""
+    payload = field(table, "spec", str, "job", "")
+    if len(payload.encode()) > PAYLOAD_LIMIT_BYTES:
+        raise FieldError("job.spec", len(payload), "at most 4000 bytes")
+    listed = rows(table, "steps", "job")
+    if not 1 <= len(listed) <= STEPS_LIMIT:
+        raise FieldError("job.steps", len(listed), "1 to 100 steps")
+    steps = tuple(step(row, number) for number, row in enumerate(listed))
+    times = field(table, "repeat-count", int, "job", 0)
+    timing = None
+    if times > 0:
+        timing = Timing(
+            int(field(table, "start-at-ms", NUMBER, "job", 0)),
+            int(field(table, "interval-ms", NUMBER, "job", 0)),
+            times,
+        )
+    return JobSpec(payload, steps, timing)
+
+
+def step(row: Any, number: int) -> Step:
+    """Decode a step of a job."""
+    where = f"steps[{number}]"
+    count = field(row, "count", int, where, 1)
+    if not 1 <= count <= TASKS_LIMIT:
+        raise FieldError(f"{where}.count", count, "1 to 10000")
+    after = rows(row, "after", where)
+    if not all(isinstance(n, int) and 0 <= n < number for n in after):
+        raise FieldError(f"{where}.after", after, "numbers of earlier steps")
+
+    def get(name: str, kind: Any, default: T) -> T:
+        return field(row, name, kind, where, default)
+
+    flag: Callable[[str], bool] = lambda name: get(name, bool, False)  # noqa: E731
+    return Step(
+        count=count,
+        need=resources(row, where),
+        estimate_ms=float(get("estimate-ms", NUMBER, 0.0)),
+        after=tuple(after),
+        gang=flag("gang"),
+        same_rack=flag("same-rack"),
+        label=get("required-label", str, ""),
+        rack=get("affinity", str, ""),
+        worker_limit=get("max-per-server", int, 0),
+        copies=flag("speculative"),
+        lasting=flag("long-running"),
+        checkpoints=flag("checkpointing"),
+        image=str(row.get("image") or ""),
+        tail_target_ms=float(get("target-ms", NUMBER, 0.0)),
+        fills=flag("fills"),
+        away_limit=get("max-unavailable", int, 0),
+    )
--- /dev/null
+++ b/cyclamenscale/platform/machines.py
@@ -0,0 +1,124 @@
+"""The platform's machines over HTTP, and the progress of waves."""
+
+from concurrent.futures import Future
+
+from msgspec import json
+
+from cyclamenscale.errors import FieldError
+from cyclamenscale.jobs.keys import LEADER
+from cyclamenscale.jobs.model import Machine
+from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
+from cyclamenscale.platform import decode
+from cyclamenscale.platform.names import (
+    FENCE_HEADER,
+    HOLDER_HEADER,
+    WAVE_STATUS_PREFIX,
+)
+from cyclamenscale.platform.workers import then
+from cyclamenscale.settings import Settings
+from cyclamenscale.store.port import Compare, Put
+from cyclamenscale.util.codec import from_json
+from cyclamenscale.util.http_client import Answer, HttpClient
+
+#: Time for one call; shorter than what a proved lease has left at least.
+CALL_TIMEOUT_MS = 1000
+
+#: Pages of the list that are read at most.
+PAGES_LIMIT = 200
+
+
+def order_reason(answer: Answer) -> str:
+    """Return why an order was refused, empty if it is carried out."""
+    if answer.status == 200:
+        return ""
+    if answer.status == 409:
+        return str(from_json(answer.body, "machine").get("reason", "busy"))
+    # 429 and 5xx say nothing of the machine; the order is repeated.
+    return "refused" if answer.status == 400 else "busy"
+
+
+class HttpMachines(MachineCalls):
+    """Calls the platform's machine interface.
+
+    :param settings: ``[platform] address``.
+    :param client: makes the calls.
+    :param store: takes the progress of waves.
+    """
+
+    def __init__(
+        self, settings: Settings, client: HttpClient, store: StoreCalls
+    ):
+        """Keep the address."""
+        self.base = f"http://{settings.platform.address}"
+        self.client = client
+        self.store = store
+
+    def list_machines(self) -> Future:
+        """Read all pages of the list."""
+        outcome: Future = Future()
+        found: list[Machine] = []
+        pages: list[str] = []
+
+        def page(token: str) -> None:
+            pages.append(token)
+            path = "/machines"
+            if token:
+                path += f"?page-token={token}"
+            call = self.client.request(
+                "GET", self.base + path, timeout_ms=CALL_TIMEOUT_MS
+            )
+            call.add_done_callback(take)
+
+        def take(done: Future) -> None:
+            if done.exception():
+                outcome.set_exception(done.exception())
+                return
+            answer = done.result()
+            if answer.status != 200:
+                outcome.set_result(None)
+                return
+            try:
+                machines, token = decode.machines(answer.body)
+            except FieldError as error:
+                outcome.set_exception(error)
+                return
+            found.extend(machines)
+            if token and len(pages) < PAGES_LIMIT:
+                page(str(token))
+            else:
+                outcome.set_result(found)
+
+        page("")
+        return outcome
+
+    def order(self, path: str, body: dict, holder: str, fence: int) -> Future:
+        """Send an order about a machine."""
+        call = self.client.request(
+            "POST",
+            self.base + path,
+            json.encode(body),
+            (f"{HOLDER_HEADER}: {holder}", f"{FENCE_HEADER}: {fence}"),
+            CALL_TIMEOUT_MS,
+        )
+        return then(call, order_reason)
+
+    def move(self, machine: str, pool: str, holder: str, fence: int) -> Future:
+        """Move a machine to another pool."""
+        body = {"machine": machine, "pool": pool}
+        return self.order("/machine-move", body, holder, fence)
+
+    def upkeep(
+        self, machine: str, wave: int, holder: str, fence: int
+    ) -> Future:
+        """Take a machine down for upkeep."""
+        body = {"machine": machine, "wave": wave}
+        return self.order("/machine-upkeep", body, holder, fence)
+
+    def report_wave(self, wave: int, completed: bool, fence: int) -> Future:
+        """Write the progress of a wave, as long as this entry leads."""
+        state = "completed" if completed else "active"
+        key = f"{WAVE_STATUS_PREFIX}{wave}"
+        return self.store.txn(
+            [Compare(LEADER, fence)],
+            [Put(key, json.encode({"wave": wave, "state": state}))],
+        )
--- /dev/null
+++ b/cyclamenscale/platform/names.py
@@ -0,0 +1,32 @@
+"""Names on the platform's wire."""
+
+from cyclamenscale.jobs.model import (
+    CANCELLED,
+    DONE,
+    FAILED,
+    QUEUED,
+    RUNNING,
+)
+
+#: Names the worker life that an order is meant for.
+TARGET_HEADER = "X-Cyclamenscale-Target-Instance"
+HOLDER_HEADER = "X-Cyclamenscale-Lease-Holder"
+FENCE_HEADER = "X-Cyclamenscale-Fencing-Token"
+#: How long a caller waits for an answer, in ms.
+DEADLINE_HEADER = "HTTP_X_CYCLAMENSCALE_DEADLINE_MS"
+
+#: Keys that the operators and the workers write.
+MANIFEST_KEY = "op/config"
+WAVE_PREFIX = "op/wave/"
+OPERATOR_PREFIX = "op/"
+WORKER_PREFIX = "servers/"
+WAVE_STATUS_PREFIX = "status/wave/"
+
+#: States of a job as callers read them.
+STATE_WORDS = {
+    QUEUED: "queued",
+    RUNNING: "active",
+    DONE: "completed",
+    FAILED: "failed",
+    CANCELLED: "cancelled",
+}
--- /dev/null
+++ b/cyclamenscale/platform/program.py
@@ -0,0 +1,164 @@
+"""The program of a job entry on the users' platform."""
+
+import os
+import signal
+import time
+from random import Random
+from threading import Event, Thread
+
+from loguru import logger
+from werkzeug.wrappers import Request, Response
+
+from cyclamenscale.jobs.coordinator import Ports
+from cyclamenscale.jobs.entry import Decoders, JobEntry
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.platform import decode, names
+from cyclamenscale.platform.front import JobFront
+from cyclamenscale.platform.kv import KvStore
+from cyclamenscale.platform.machines import HttpMachines
+from cyclamenscale.platform.workers import HttpWorkers
+from cyclamenscale.server import HttpServer
+from cyclamenscale.settings import Settings, load
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.http_client import HttpClient
+from cyclamenscale.util.log import set_up
+from cyclamenscale.util.loop import Loop
+
+#: Variable with the path of the settings file.
+SETTINGS_VARIABLE = "CYCLAMENSCALE_SETTINGS"
+
+#: Threads of the caller server, each with one call in progress.
+CALLER_THREADS = 24
+READY_THREADS = 2
+
+#: Idle connections and connections that wait for a thread.
+CONNECTIONS_LIMIT = 1500
+
+#: Connections of callers that send nothing for this long are closed.
+IDLE_S = 30.0
+
+#: Time for the last calls in progress when the entry stops.
+LAST_CALLS_S = 1.0
+
+DECODERS = Decoders(
+    names.OPERATOR_PREFIX,
+    names.MANIFEST_KEY,
+    names.WAVE_PREFIX,
+    names.WORKER_PREFIX,
+    decode.manifest,
+    decode.wave,
+    decode.worker_entry,
+)
+
+
+class Program:
+    """One process: the loop, the entry and its HTTP servers.
+
+    :param settings: the whole settings.
+    """
+
+    def __init__(self, settings: Settings):
+        """Make the parts."""
+        self.settings = settings
+        self.loop = Loop()
+        client = HttpClient(self.loop)
+        store = KvStore(settings, client)
+        ports = Ports(
+            HttpWorkers(settings, client),
+            HttpMachines(settings, client, store),
+            store,
+        )
+        self.metrics = Metrics(settings)
+        self.events = EventLog(settings.entry.name)
+        self.entry = JobEntry(
+            settings,
+            self.loop,
+            ports,
+            DECODERS,
+            self.events,
+            self.metrics,
+            Random(os.urandom(8)),
+        )
+        self.terminated = Event()
+        self.front = self.server(
+            settings.entry.callers_address,
+            JobFront(self.entry, self.loop),
+            "callers",
+            CALLER_THREADS,
+        )
+        self.ready = self.server(
+            settings.entry.ready_address, self.serve_ready, "ready"
+        )
+        self.metrics_server = self.server(
+            settings.entry.metrics_address, self.serve_metrics, "metrics"
+        )
+
+    def server(self, address, app, name, threads=READY_THREADS) -> HttpServer:
+        """Make an HTTP server."""
+        return HttpServer(
+            address,
+            app,
+            threads=threads,
+            queue_limit=CONNECTIONS_LIMIT,
+            body_limit_bytes=1 << 20,
+            idle_s=IDLE_S,
+            name=name,
+            count=self.metrics.incr,
+        )
+
+    def serve_ready(self, environ, start_response):
+        """Tell the balancer whether callers may come."""
+        ready = self.entry.is_ready()
+        response = Response(b"", 200 if ready else 503)
+        return response(environ, start_response)
+
+    def serve_metrics(self, environ, start_response):
+        """Serve the counters as text."""
+        Request(environ)
+        lines = [
+            f"{name.replace('.', '_')} {value}"
+            for name, value in sorted(self.metrics.snapshot().items())
+        ]
+        text = "\n".join(lines) + "\n"
+        response = Response(text, 200, mimetype="text/plain")
+        return response(environ, start_response)
+
+    def on_term(self, number: int, frame) -> None:
+        """Stop gracefully."""
+        self.terminated.set()
+
+    def on_hup(self, number: int, frame) -> None:
+        """Check the settings file, which has changed."""
+        self.loop.submit(lambda: self.events.note("entry.reload"))
+
+    def run(self) -> int:
+        """Serve until SIGTERM."""
+        signal.signal(signal.SIGTERM, self.on_term)
+        signal.signal(signal.SIGHUP, self.on_hup)
+        loop_thread = Thread(target=self.loop.run, name="loop", daemon=True)
+        for server in (self.front, self.ready, self.metrics_server):
+            server.start()
+        loop_thread.start()
+        self.loop.submit(self.entry.start)
+        self.terminated.wait()
+        self.stop()
+        return 0
+
+    def stop(self) -> None:
+        """Hand over, let callers go elsewhere, and answer the last calls."""
+        self.loop.submit(self.entry.drain)
+        time.sleep(self.settings.jobs.drain_s)
+        self.front.stop(LAST_CALLS_S)
+        self.loop.submit(lambda: self.events.note("entry.stop")).result(1.0)
+        logger.info("stopped")
+
+
+def run(path: str = "") -> int:
+    """Run a job entry.
+
+    :param path: settings file, by default the platform's.
+    :returns: the exit status.
+    """
+    settings = load(path or os.environ.get(SETTINGS_VARIABLE) or None)
+    set_up(settings)
+    return Program(settings).run()
--- /dev/null
+++ b/cyclamenscale/platform/workers.py
@@ -0,0 +1,179 @@
+"""Orders to workers over HTTP."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any
+
+from msgspec import json
+
+from cyclamenscale.errors import CallUnansweredError, FieldError
+from cyclamenscale.jobs.model import WorkerEntry
+from cyclamenscale.jobs.ports import (
+    HoldOrder,
+    OrderAnswer,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerCalls,
+)
+from cyclamenscale.platform import decode
+from cyclamenscale.platform.names import TARGET_HEADER
+from cyclamenscale.settings import Settings
+from cyclamenscale.util.codec import from_json
+from cyclamenscale.util.http_client import Answer, HttpClient
+
+#: Time for an order; a sound worker answers within a few milliseconds.
+ORDER_TIMEOUT_MS = 300
+
+#: Added to the time that a hold may wait.
+HOLD_MARGIN_MS = 350
+
+#: Time for a call for advice, which is served one at a time.
+ADVICE_TIMEOUT_MS = 2000
+
+#: Refusals that the status alone tells.
+STATUS_REASONS = {
+    421: "other_life",
+    429: "unhealthy",
+    503: "unhealthy",
+    400: "bad",
+}
+
+
+def order_answer(answer: Answer) -> OrderAnswer:
+    """Decode the answer to an order."""
+    table = from_json(answer.body, "order") if answer.body else {}
+    clock_ms = table.get("clock-ms", 0) if isinstance(table, dict) else 0
+    if answer.status == 200:
+        return OrderAnswer(True, "", clock_ms)
+    reason = STATUS_REASONS.get(answer.status)
+    if answer.status == 409:
+        reason = str(table.get("reason", "unhealthy"))
+    return OrderAnswer(False, reason or "unhealthy", clock_ms)
+
+
+def hold_answer(answer: Answer) -> Any:
+    """Decode the answer to a hold."""
+    if answer.status == 200:
+        return decode.worker_report(answer.body)
+    return order_answer(answer)
+
+
+def then(call: Future, read: Callable[[Answer], Any]) -> Future:
+    """Return a future with the decoded answer of a call."""
+    outcome: Future = Future()
+
+    def settle(done: Future) -> None:
+        if done.exception():
+            outcome.set_exception(done.exception())
+            return
+        try:
+            found = read(done.result())
+        except (FieldError, KeyError, TypeError, ValueError) as error:
+            outcome.set_exception(CallUnansweredError(str(error)))
+        else:
+            outcome.set_result(found)
+
+    call.add_done_callback(settle)
+    return outcome
+
+
+class HttpWorkers(WorkerCalls):
+    """Calls workers at the addresses of their entries.
+
+    :param settings: ``[platform] advice_address``.
+    :param client: makes the calls.
+    """
+
+    def __init__(self, settings: Settings, client: HttpClient):
+        """Keep the client."""
+        self.advice_address = settings.platform.advice_address
+        self.client = client
+
+    def post(
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+        fresh: bool = False,
+    ) -> Future:
+        """Send an order to one life of a worker."""
+        return self.client.request(
+            "POST",
+            f"http://{worker.address}{path}",
+            json.encode(body),
+            (f"{TARGET_HEADER}: {worker.id}",),
+            timeout_ms,
+            fresh,
+        )
+
+    def start(self, worker: WorkerEntry, order: StartOrder) -> Future:
+        """Start a task."""
+        body = {
+            "task": order.task,
+            "run-id": order.run,
+            "spec": order.payload,
+            "deadline-ms": order.deadline_ms,
+            "fencing-token": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        call = self.post(worker, "/run-start", body, ORDER_TIMEOUT_MS)
+        return then(call, order_answer)
+
+    def stop(self, worker: WorkerEntry, order: StopOrder) -> Future:
+        """Stop a run."""
+        body = {
+            "task": order.task,
+            "run-id": order.run,
+            "fencing-token": order.fence,
+        }
+        call = self.post(worker, "/run-stop", body, ORDER_TIMEOUT_MS)
+        return then(call, order_answer)
+
+    def pace(self, worker: WorkerEntry, order: PaceOrder) -> Future:
+        """Pace a run."""
+        body = {
+            "task": order.task,
+            "run-id": order.run,
+            "percent": order.percent,
+            "fencing-token": order.fence,
+        }
+        call = self.post(worker, "/pace", body, ORDER_TIMEOUT_MS)
+        return then(call, order_answer)
+
+    def hold(
+        self, worker: WorkerEntry, order: HoldOrder, fresh: bool = False
+    ) -> Future:
+        """Hold what runs, and look."""
+        body: dict[str, Any] = {
+            "fencing-token": order.fence,
+            "last-seen": order.acknowledged,
+        }
+        if order.deadline_ms:
+            body["deadline-ms"] = order.deadline_ms
+        if order.wait_ms:
+            body["wait-ms"] = order.wait_ms
+        timeout_ms = order.wait_ms + HOLD_MARGIN_MS
+        call = self.post(worker, "/hold", body, timeout_ms, fresh)
+        return then(call, hold_answer)
+
+    def advise(self, step: str, workers: list[str]) -> Future:
+        """Ask for tickets."""
+
+        def read(answer: Answer) -> dict[str, str] | None:
+            if answer.status != 200:
+                return None
+            table = from_json(answer.body, "advice")
+            return {row[0]: row[1] for row in table["allowed"]}
+
+        call = self.client.request(
+            "POST",
+            f"http://{self.advice_address}/advise",
+            json.encode({"step": step, "workers": workers}),
+            timeout_ms=ADVICE_TIMEOUT_MS,
+        )
+        return then(call, read)
--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -37,6 +37,12 @@
     operators_address: Annotated[
         Listen, "where the operators' server listens"
     ] = "127.0.0.1:0"
+    ready_address: Annotated[
+        Listen, "where the balancer asks a job entry whether it is ready"
+    ] = "127.0.0.1:0"
+    metrics_address: Annotated[
+        Listen, "where a job entry serves its metrics as text"
+    ] = "127.0.0.1:0"
     peers_address: Annotated[Listen, "where the peer link listens"] = (
         "127.0.0.1:0"
     )
@@ -98,6 +104,9 @@
     poll_s: Annotated[
         float, Range(0.1, 60), "time between reads of the list"
     ] = 1.0
+    advice_address: Annotated[
+        OptionalAddress, "address of the placement advice, empty for none"
+    ] = ""
 
 
 class FreshnessSettings(NamedTuple):
@@ -388,6 +397,70 @@
     ] = 20
 
 
+class JobsSettings(NamedTuple):
+    """``[jobs]``: jobs of tasks on the platform's workers."""
+
+    order: Annotated[
+        str,
+        Choices("due_first", "first_come"),
+        "policy that orders the jobs of a pool",
+    ] = "due_first"
+    hold_s: Annotated[
+        float,
+        Range(0.5, 600),
+        "time for which a worker runs on without a look; a task on a worker "
+        "that fell silent starts elsewhere after it",
+    ] = 3.0
+    max_hold_ms: Annotated[
+        int, Range(500, 3600000), "longest hold that the platform grants"
+    ] = 10000
+    look_s: Annotated[
+        float,
+        Range(0.05, 2),
+        "time for which a worker waits for an end before it reports",
+    ] = 0.6
+    fresh_s: Annotated[
+        float,
+        Range(0.1, 60),
+        "age of a worker's last report up to which it gets new tasks",
+    ] = 1.5
+    lease_ttl_ms: Annotated[
+        int,
+        Range(500, 600000),
+        "lease of the coordinator; another one takes over after it",
+    ] = 1500
+    renew_s: Annotated[
+        float, Range(0.05, 60), "time between renewals of that lease"
+    ] = 0.35
+    holder_pause_ms: Annotated[
+        int,
+        Range(0, 600000),
+        "time for which a new coordinator gives no orders to machines; the "
+        "platform's bound for two holders in turn",
+    ] = 3000
+    empty_s: Annotated[
+        float,
+        Range(0, 600),
+        "time that short tasks get to end before their machine's upkeep",
+    ] = 2.5
+    watch_ms: Annotated[
+        int,
+        Range(100, 30000),
+        "time a watch of the store waits; a silent one is noticed after it",
+    ] = 1000
+    drain_s: Annotated[
+        float,
+        Range(0, 600),
+        "time from the unready answer until the server stops; the balancer "
+        "notices after two seconds, and the platform kills at its own bound",
+    ] = 3.5
+    retention_s: Annotated[
+        float,
+        Range(1, 2592000),
+        "time for which the state of an ended job can be read",
+    ] = 180.0
+
+
 class AuditSettings(NamedTuple):
     """``[audit]``: the trail of changes and decisions."""
 
@@ -473,6 +546,7 @@
     claims: ClaimsSettings = ClaimsSettings()
     fleet: FleetSettings = FleetSettings()
     placement: PlacementSettings = PlacementSettings()
+    jobs: JobsSettings = JobsSettings()
     audit: AuditSettings = AuditSettings()
     metrics: MetricsSettings = MetricsSettings()
     supervisor: SupervisorSettings = SupervisorSettings()
--- a/cyclamenscale/ui/commands.py
+++ b/cyclamenscale/ui/commands.py
@@ -149,6 +149,17 @@
 
         return run(checked)
 
+    @command
+    def jobs(self, *, settings: str = "") -> int | None:
+        """Run a job entry until it is told to stop.
+
+        :param settings: path of an INI file, by default that of the
+            variable CYCLAMENSCALE_SETTINGS.
+        """
+        from cyclamenscale.platform.program import run
+
+        return run(settings)
+
     @command
     def local(self, *, serve: bool = False) -> int | None:
         """Run test doubles and two entries in one process.
