--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -45,7 +45,7 @@
 RUN_S = 0.1
 
 #: A follower gathers changes for this long after an event.
-FOLLOW_PAUSE_S = 0.01
+FOLLOW_PAUSE_S = 0.1
 
 #: Without an answer of the store for this long an entry is not ready.
 STORE_SILENCE_S = 2.5
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -301,6 +301,9 @@
         operation.retry_s = now_s + RETRY_S
         term = state.term
         name = operation.machine.name
+        worker = self.worker_of(operation.machine)
+        if worker:
+            worker.condemned = True
         if operation.wave:
             answer = self.calls.upkeep(
                 name, operation.wave, term.node, term.fence
@@ -360,6 +363,7 @@
         worker = self.worker_of(operation.machine)
         if worker:
             worker.cordoned = ""
+            worker.condemned = False
         self.state.events.note(
             "machine.given_up",
             machine=operation.machine.name,
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -84,7 +84,8 @@
     @property
     def at_work(self) -> bool:
         """Return whether a lasting task's run was last shown at work."""
-        return self.phase == RUNNING and self.percent >= 100
+        working = self.phase == RUNNING and self.percent >= 100
+        return working and not self.worker.condemned
 
     @property
     def key(self) -> tuple[str, int]:
@@ -101,6 +102,7 @@
     :ivar acknowledged: number of the last end whose effect is stored.
     :ivar listed: whether the registry shows it.
     :ivar cordoned: reason why nothing may be started on it, or empty.
+    :ivar condemned: whether an order that ends its runs may be under way.
     :ivar blocked_until_s: no starts before this time.
     :ivar demerits: failed runs since the last that was done.
     """
@@ -123,6 +125,7 @@
         self.listed = True
         self.unlisted_s = 0.0
         self.cordoned = ""
+        self.condemned = False
         self.blocked_until_s = 0.0
         self.demerits = 0
         self.failed_jobs: set[str] = set()
