--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -1,34 +1,238 @@
-"""Which machines should change their pool, from the demand of the queues."""
+"""Which machines should change their pool, from the demand of the queues.
+
+A pool that has more to run than its machines hold is hot. It gets machines
+from the standby pool first, then from pools that don't need theirs; what
+nobody needs goes back to the standby pool, whose machines cost nothing.
+
+Demand that goes from pool to pool is foreseen: once two pools in a row have
+become hot, the next one is expected after the same time, and it is the one
+that was hot the longest time ago. A wrong forecast costs a few moves.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from math import ceil
+from typing import NamedTuple
 
 from cyclamenscale.jobs.model import Machine
-from cyclamenscale.jobs.placement import Placement
-from cyclamenscale.jobs.state import State
+
+#: Share of a machine that is filled before another one is wanted.
+FILL_SHARE = 0.9
+
+#: A pool becomes hot above the first share of its own machines, and is no
+#: longer hot below the second.
+HOT_SHARE = 0.9
+COLD_SHARE = 0.45
+
+#: A machine that its pool does not need goes back after this time; a move
+#: costs about as much as a second in a pool.
+IDLE_S = 1.2
+
+#: A machine that has arrived stays at least this long.
+STAY_S = 1.0
+
+#: Time before an expected turn at which machines set out: a move takes the
+#: platform about 1.5 s, and the worker has to register.
+LEAD_S = 2.0
+
+#: An expected turn that does not come is given up after this time.
+MISSED_S = 1.5
+
+#: Turns that are remembered.
+TURNS_LIMIT = 32
+
+#: Spacings of turns that are taken for a rhythm may differ by this share.
+RHYTHM_SHARE = 0.25
+
+
+class PoolLoad(NamedTuple):
+    """What a pool has, and what it has to run.
+
+    :ivar machines: machines in the pool, those on their way included.
+    :ivar processors: processors of one machine.
+    :ivar used: processors that its runs have set aside.
+    :ivar waiting: processors that its waiting tasks need.
+    """
+
+    machines: int
+    processors: float
+    used: float
+    waiting: float
+
+    @property
+    def demand(self) -> float:
+        """Return the processors that could be in use now."""
+        return self.used + self.waiting
+
+    @property
+    def wanted(self) -> int:
+        """Return the number of machines that would hold the demand."""
+        return ceil(self.demand / (self.processors * FILL_SHARE))
+
+
+class Spare(NamedTuple):
+    """A machine that could be moved now.
+
+    :ivar machine: the machine.
+    :ivar runs: short runs on it, which have to end first.
+    """
+
+    machine: Machine
+    runs: int
+
+
+class Turn(NamedTuple):
+    """A time at which a pool became hot.
+
+    :ivar pool: the pool.
+    :ivar at_s: when.
+    :ivar machines: most machines it wanted then.
+    """
+
+    pool: str
+    at_s: float
+    machines: int
+
+
+class Rhythm:
+    """Learns the turns of the pools."""
+
+    def __init__(self):
+        """Start without turns."""
+        self.turns: list[Turn] = []
+        self.hot: set[str] = set()
+
+    def note(self, loads: dict[str, PoolLoad], now_s: float) -> None:
+        """Note which pools have become hot."""
+        for pool, load in loads.items():
+            own = load.machines * load.processors
+            if pool in self.hot:
+                if load.demand < COLD_SHARE * own:
+                    self.hot.discard(pool)
+                self.raise_peak(pool, load.wanted)
+            elif own and load.demand > HOT_SHARE * own:
+                self.hot.add(pool)
+                self.turns.append(Turn(pool, now_s, load.wanted))
+                del self.turns[:-TURNS_LIMIT]
+
+    def raise_peak(self, pool: str, wanted: int) -> None:
+        """Note how many machines the latest turn of a pool wants."""
+        for index in range(len(self.turns) - 1, -1, -1):
+            turn = self.turns[index]
+            if turn.pool == pool:
+                if wanted > turn.machines:
+                    self.turns[index] = turn._replace(machines=wanted)
+                return
+
+    def spacing_s(self) -> float:
+        """Return the time between turns, 0 if there is no rhythm."""
+        starts = [
+            turn.at_s
+            for index, turn in enumerate(self.turns)
+            if not index or self.turns[index - 1].pool != turn.pool
+        ]
+        gaps = [b - a for a, b in zip(starts, starts[1:], strict=False)][-3:]
+        if len(gaps) < 2:
+            return 0.0
+        mean_s = sum(gaps) / len(gaps)
+        if any(abs(gap - mean_s) > RHYTHM_SHARE * mean_s for gap in gaps):
+            return 0.0
+        return mean_s
+
+    def expected(self, pools: Iterable[str], now_s: float) -> Turn | None:
+        """Return the turn to prepare for now, if there is one.
+
+        :param pools: the pools that take turns.
+        """
+        spacing_s = self.spacing_s()
+        if not spacing_s:
+            return None
+        last = self.turns[-1]
+        due_s = last.at_s + spacing_s
+        if not due_s - LEAD_S <= now_s <= due_s + MISSED_S:
+            return None
+        latest = {turn.pool: turn for turn in self.turns}
+        others = [pool for pool in pools if pool != last.pool]
+        if not others:
+            return None
+        pool = min(
+            others,
+            key=lambda name: latest[name].at_s if name in latest else 0.0,
+        )
+        known = latest.get(pool, last)
+        return Turn(pool, due_s, known.machines)
 
 
 class Capacity:
-    """Decides on moves between pools.
+    """Decides on moves between pools; pure.
 
-    :param state: shared knowledge.
-    :param placement: tells the backlog of each pool.
+    :ivar rhythm: the turns of the pools.
     """
 
-    def __init__(self, state: State, placement: Placement):
+    def __init__(self):
         """Start without history."""
-        self.state = state
-        self.placement = placement
+        self.rhythm = Rhythm()
+        self.unneeded_s: dict[str, float] = {}
 
     def moves(
         self,
-        machines: dict[str, Machine],
-        busy: set[str],
-        operations: dict,
+        loads: dict[str, PoolLoad],
+        standby: str,
+        spares: list[Spare],
         now_s: float,
     ) -> list[tuple[Machine, str]]:
         """Return the moves to start now.
 
-        :param machines: all machines by name.
-        :param busy: names of machines that may not be moved.
-        :param operations: operations in progress by machine.
+        :param loads: load of each pool that has queues.
+        :param standby: pool whose machines are off, empty if there is none.
+        :param spares: machines that may be moved, standby ones included.
         :returns: machines with their target pools.
         """
-        return []
+        self.rhythm.note(loads, now_s)
+        wanted = {pool: load.wanted for pool, load in loads.items()}
+        turn = self.rhythm.expected(loads, now_s)
+        if turn:
+            wanted[turn.pool] = max(wanted[turn.pool], turn.machines)
+        short = Counter()
+        for pool, load in loads.items():
+            waits = load.waiting > 0 or (turn and pool == turn.pool)
+            if waits and wanted[pool] > load.machines:
+                short[pool] = wanted[pool] - load.machines
+        taken: Counter[str] = Counter()
+        moves = []
+        spares = sorted(
+            spares,
+            key=lambda spare: (spare.machine.pool != standby, spare.runs),
+        )
+        for spare in spares:
+            source = spare.machine.pool
+            if source != standby:
+                load = loads.get(source)
+                left = load.machines - taken[source] if load else 1
+                if load and left <= max(wanted[source], 1):
+                    self.unneeded_s.pop(spare.machine.name, None)
+                    continue
+            target = self.neediest(short, source)
+            if target:
+                short[target] -= 1
+            elif source != standby and standby and self.is_idle(spare, now_s):
+                target = standby
+            else:
+                continue
+            taken[source] += 1
+            self.unneeded_s.pop(spare.machine.name, None)
+            moves.append((spare.machine, target))
+        return moves
+
+    def neediest(self, short: Counter, source: str) -> str:
+        """Return the pool that lacks most machines, or an empty text."""
+        open_to = [p for p, n in short.items() if n > 0 and p != source]
+        return max(open_to, key=lambda pool: short[pool], default="")
+
+    def is_idle(self, spare: Spare, now_s: float) -> bool:
+        """Return whether a machine has not been needed for a while."""
+        if spare.runs:
+            self.unneeded_s.pop(spare.machine.name, None)
+            return False
+        since_s = self.unneeded_s.setdefault(spare.machine.name, now_s)
+        return now_s - since_s > IDLE_S
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -5,10 +5,11 @@
 had no answer are repeated; the platform accepts one that is already done.
 """
 
+from collections import Counter
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from cyclamenscale.jobs.capacity import Capacity
+from cyclamenscale.jobs.capacity import STAY_S, Capacity, PoolLoad, Spare
 from cyclamenscale.jobs.model import Machine, Wave
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
@@ -26,6 +27,11 @@
 #: Added to the time for which another holder's orders exclude ours.
 HOLDER_MARGIN_S = 0.3
 
+#: Time of one upkeep with emptying, and what is kept in hand of a wave's
+#: time, before machines of hot pools are taken too.
+ROUND_S = 4.5
+SLACK_S = 3.0
+
 #: A move is given up if its machine is not empty by then.
 MOVE_PATIENCE_S = 4.0
 
@@ -99,7 +105,8 @@
         self.operations: dict[str, Operation] = {}
         self.waves: dict[int, WaveState] = {}
         self.report_in_flight = False
-        self.capacity = Capacity(state, placement)
+        self.placement = placement
+        self.capacity = Capacity()
 
     def set_wave(self, wave: Wave, age_s: float = 0.0) -> None:
         """Take a requested wave on.
@@ -180,12 +187,20 @@
             if machine.up and not operation:
                 ready.append(machine)
         ready.sort(key=self.load_of)
+        if self.has_time(progress, left, now_s):
+            hot = self.capacity.rhythm.hot
+            ready = [machine for machine in ready if machine.pool not in hot]
         # One more than may be down is emptied ahead.
         for machine in ready[: max(wave.limit + 1 - down, 0)]:
             self.begin(Operation(machine, now_s, wave=wave.number))
         if not left and not down and self.listed_s > 0:
             self.report(progress, "completed")
 
+    def has_time(self, progress: WaveState, left: int, now_s: float) -> bool:
+        """Return whether upkeep of machines in hot pools can wait."""
+        rounds = -(-left // progress.wave.limit)
+        return progress.end_s - now_s > rounds * ROUND_S + SLACK_S
+
     def load_of(self, machine: Machine) -> tuple:
         """Return how much runs on a machine, lasting tasks first."""
         worker = self.worker_of(machine)
@@ -400,14 +415,81 @@
         """Start moves that pay."""
         if not self.may_order(now_s):
             return
+        standby = self.standby_pool()
+        moves = self.capacity.moves(
+            self.loads(), standby, self.spares(now_s), now_s
+        )
+        for machine, pool in moves:
+            self.begin(Operation(machine, now_s, pool=pool))
+
+    def standby_pool(self) -> str:
+        """Return the pool whose machines are off, or an empty text."""
+        pools = self.state.manifest.pools.values()
+        return next((pool.name for pool in pools if pool.standby), "")
+
+    def loads(self) -> dict[str, PoolLoad]:
+        """Return the load of each pool that has queues."""
+        state = self.state
+        pools = {queue.pool for queue in state.manifest.queues.values()}
+        counts: Counter[str] = Counter()
+        for machine in self.machines.values():
+            operation = self.operations.get(machine.name)
+            target = operation.pool if operation else ""
+            counts[target or machine.pool] += 1
+        used: Counter[str] = Counter()
+        size: dict[str, float] = {}
+        for worker in state.workers.values():
+            entry = worker.entry
+            used[entry.pool] += worker.used.processors
+            size[entry.pool] = max(
+                size.get(entry.pool, 0.0), entry.capacity.processors
+            )
+        default = max(size.values(), default=1.0) or 1.0
+        return {
+            pool: PoolLoad(
+                counts[pool],
+                size.get(pool, default) or default,
+                used[pool],
+                self.placement.backlog[pool],
+            )
+            for pool in pools
+            if counts[pool] or self.placement.backlog[pool]
+        }
+
+    def spares(self, now_s: float) -> list[Spare]:
+        """Return the machines that may be moved now."""
         due = {
             name
             for progress in self.waves.values()
             for name in progress.wave.machines
             if name not in progress.done
         }
-        busy = set(self.operations) | due
-        for machine, pool in self.capacity.moves(
-            self.machines, busy, self.operations, now_s
-        ):
-            self.begin(Operation(machine, now_s, pool=pool))
+        found = []
+        standby = self.standby_pool()
+        for machine in self.machines.values():
+            if (
+                not machine.up
+                or machine.name in self.operations
+                or machine.name in due
+            ):
+                continue
+            worker = self.worker_of(machine)
+            if machine.pool == standby:
+                found.append(Spare(machine, 0))
+            elif worker and self.is_spare(worker, now_s):
+                found.append(Spare(machine, len(worker.runs)))
+        return found
+
+    def is_spare(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a worker's machine could go to another pool."""
+        return (
+            worker.fence == self.state.term.fence
+            and not worker.failed_looks
+            and not worker.gone
+            and not worker.entry.leaving
+            and now_s - worker.first_seen_s > STAY_S
+            and not any(
+                run.task is None or run.task.step.spec.lasting
+                for run in worker.runs.values()
+            )
+        )
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -219,11 +219,19 @@
                 for run in worker.runs.values()
                 if run.fills
             )
+        # Lasting tasks share machines, so that others stay free to move.
+        lasting = 0
+        if spec.lasting:
+            lasting = -sum(
+                run.task is not None and run.task.step.spec.lasting
+                for run in worker.runs.values()
+            )
         return (
             worker.id in task.avoid,
             worker.demerits > 0,
             far,
             filling,
+            lasting,
             -worker.free_share,
         )
 
