Let only the machine list tell that an order has ended a worker

The progress of waves is stored, so that a new coordinator does not empty those machines again. The process leaves before the platform's bound on a stop. Tests: test_an_upkeep_that_was_done_before_ends_no_run (failed before).

--- a/cyclamenscale/jobs/board.py
+++ b/cyclamenscale/jobs/board.py
@@ -3,13 +3,14 @@
 from typing import NamedTuple
 
 from cyclamenscale.errors import FieldError
-from cyclamenscale.jobs.keys import CANCEL, JOB, LEADER, PROGRESS
+from cyclamenscale.jobs.keys import CANCEL, JOB, LEADER, PROGRESS, WAVE
 from cyclamenscale.jobs.model import (
     CANCELLED,
     FINAL,
     QUEUED,
     JobRecord,
     ProgressRecord,
+    WaveRecord,
 )
 from cyclamenscale.store.port import KeyValue
 from cyclamenscale.util.codec import decode_record
@@ -76,6 +77,8 @@
         """Start empty."""
         self.postings: dict[str, Posting] = {}
         self.leader: Leader | None = None
+        #: Progress of waves by number.
+        self.waves: dict[int, WaveRecord] = {}
         self.revision = 0
         self.filled = False
 
@@ -109,10 +112,12 @@
                     item.value, ProgressRecord, key
                 )
                 posting.progress_revision = item.mod_revision
+        elif key.startswith(WAVE) and not gone:
+            number = int(key.removeprefix(WAVE))
+            self.waves[number] = decode_record(item.value, WaveRecord, key)
         elif key.startswith(CANCEL) and not gone:
             self.posting(key.removeprefix(CANCEL)).cancelled = True
-        job = key.rpartition("/")[2]
-        posting = self.postings.get(job)
+        posting = self.postings.get(key.rpartition("/")[2])
         if posting and posting.state in FINAL and not posting.final_s:
             posting.final_s = now_s
 
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -291,7 +291,8 @@
             if posting.cancelled:
                 coordinator.cancel_job(job)
         for wave in self.waves.values():
-            coordinator.machines.set_wave(wave)
+            record = self.board.waves.get(wave.number)
+            coordinator.machines.set_wave(wave, record)
         self.worker_feed = Feed(
             self.loop,
             self.ports.store,
--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -5,7 +5,7 @@
 JOB = PREFIX + "job/"
 PROGRESS = PREFIX + "progress/"
 CANCEL = PREFIX + "cancel/"
-WAVES = PREFIX + "waves"
+WAVE = PREFIX + "wave/"
 
 
 def job_key(job: str) -> str:
@@ -21,3 +21,8 @@
 def cancel_key(job: str) -> str:
     """Return the key of a job's cancellation."""
     return CANCEL + job
+
+
+def wave_key(wave: int) -> str:
+    """Return the key of a wave's progress."""
+    return f"{WAVE}{wave}"
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from cyclamenscale.jobs.capacity import STAY_S, Capacity, PoolLoad, Spare
-from cyclamenscale.jobs.model import Machine, Wave
+from cyclamenscale.jobs.model import Machine, Wave, WaveRecord
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls
@@ -67,12 +67,14 @@
     """Progress of a wave.
 
     :ivar wave: the wave.
+    :ivar begun_ms: wall-clock time at which it was first seen.
     :ivar end_s: when all should be done.
     :ivar done: machines that have begun their upkeep.
-    :ivar reported: set of the states that were reported.
+    :ivar reported: what was reported: states, and states with counts.
     """
 
     wave: Wave
+    begun_ms: int
     end_s: float
     done: set[str]
     reported: set[str]
@@ -108,14 +110,24 @@
         self.placement = placement
         self.capacity = Capacity()
 
-    def set_wave(self, wave: Wave, age_s: float = 0.0) -> None:
+    def set_wave(self, wave: Wave, record: WaveRecord | None = None) -> None:
         """Take a requested wave on.
 
-        :param age_s: time since the request, as far as it is known.
+        :param record: what an earlier coordinator has stored of it.
         """
         if wave.number not in self.waves:
-            end_s = self.state.clock() + wave.duration_s - age_s
-            self.waves[wave.number] = WaveState(wave, end_s, set(), set())
+            now_ms = int(self.state.wall() * 1000)
+            if record is None:
+                record = WaveRecord(now_ms, (), False)
+            age_s = max(now_ms - record.begun_ms, 0) / 1000
+            reported = {"active", "completed"} if record.completed else set()
+            self.waves[wave.number] = WaveState(
+                wave,
+                record.begun_ms,
+                self.state.clock() + wave.duration_s - age_s,
+                set(record.done),
+                reported,
+            )
             self.state.events.note(
                 "wave.requested",
                 wave=wave.number,
@@ -150,6 +162,7 @@
         self.list_due_s = now_s + (LIST_BUSY_S if self.operations else LIST_S)
 
         def answered(done: Future) -> None:
+            # The list shows what was the case when it was asked for.
             self.list_in_flight = False
             if done.exception() or done.result() is None:
                 self.state.metrics.incr("jobs.machine_lists_failed")
@@ -232,9 +245,8 @@
         name = operation.machine.name
         machine = self.machines.get(name)
         if operation.carried_out:
-            back = machine and machine.up and self.listed_s > operation.done_s
-            if not machine or back:
-                self.operations.pop(name, None)
+            if self.listed_s > operation.done_s:
+                self.settle(operation, machine)
             return
         if machine is None or (not machine.up and not operation.ordered):
             self.give_up(operation, "the machine is not up")
@@ -360,18 +372,33 @@
         self.carry_out(operation)
 
     def carry_out(self, operation: Operation) -> None:
-        """Note that an operation is carried out; its runs have ended."""
+        """Note that an operation is carried out.
+
+        An earlier holder may have carried it out long ago, in which case
+        the runs on the machine go on; only the list tells.
+        """
         operation.carried_out = True
         operation.done_s = self.state.clock()
+        self.list_due_s = operation.done_s
         self.state.metrics.incr("jobs.machine_orders")
-        worker = self.worker_of(operation.machine)
-        if worker:
-            worker.gone = True
-            self.state.touch()
         if operation.wave and operation.wave in self.waves:
             done = self.waves[operation.wave].done
             done.add(operation.machine.name)
 
+    def settle(self, operation: Operation, machine: Machine | None) -> None:
+        """Follow a listing that is newer than the platform's answer."""
+        worker = self.worker_of(operation.machine)
+        same = machine and machine.worker == operation.machine.worker
+        if worker and not (same and machine.up):
+            # What ran there has ended with the order.
+            worker.gone = True
+            self.state.touch()
+        elif worker:
+            worker.cordoned = ""
+            worker.condemned = False
+        if not machine or machine.up:
+            self.operations.pop(operation.machine.name, None)
+
     def give_up(self, operation: Operation, why: str) -> None:
         """End an operation that will not be carried out."""
         self.operations.pop(operation.machine.name, None)
@@ -388,7 +415,8 @@
 
     def report(self, progress: WaveState, status: str) -> None:
         """Tell the platform of a wave's progress."""
-        if status in progress.reported or self.report_in_flight:
+        news = f"{status} {len(progress.done)}"
+        if news in progress.reported or self.report_in_flight:
             return
         if not self.state.proven():
             return
@@ -397,7 +425,7 @@
         def answered(done: Future) -> None:
             self.report_in_flight = False
             if not done.exception():
-                progress.reported.add(status)
+                progress.reported.update((status, news))
                 self.state.events.note(
                     "wave.reported",
                     wave=progress.wave.number,
@@ -405,9 +433,13 @@
                     left_s=round(progress.end_s - self.state.clock(), 1),
                 )
 
-        completed = status == "completed"
+        record = WaveRecord(
+            progress.begun_ms,
+            tuple(sorted(progress.done)),
+            status == "completed",
+        )
         answer = self.calls.report_wave(
-            progress.wave.number, completed, self.state.term.fence
+            progress.wave.number, record, self.state.term.fence
         )
         answer.add_done_callback(answered)
 
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -323,6 +323,19 @@
     limit: int
 
 
+class WaveRecord(NamedTuple):
+    """Progress of a wave as stored, for the next coordinator.
+
+    :ivar begun_ms: wall-clock time at which it was first seen.
+    :ivar done: machines that have begun their upkeep.
+    :ivar completed: whether that was told to the platform.
+    """
+
+    begun_ms: int
+    done: tuple[str, ...]
+    completed: bool
+
+
 def task_name(job: str, occurrence: int, step: int, index: int) -> str:
     """Return the name of a task on workers."""
     return f"{job}.{occurrence}.{step}.{index}"
--- a/cyclamenscale/jobs/ports.py
+++ b/cyclamenscale/jobs/ports.py
@@ -9,7 +9,7 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from cyclamenscale.jobs.model import WorkerEntry
+from cyclamenscale.jobs.model import WaveRecord, WorkerEntry
 from cyclamenscale.store.port import Compare, Delete, Put
 
 
@@ -153,7 +153,7 @@
         """Take a machine down for upkeep; a reason, empty once done."""
 
     @abstractmethod
-    def report_wave(self, wave: int, completed: bool, fence: int) -> Future:
+    def report_wave(self, wave: int, record: WaveRecord, fence: int) -> Future:
         """Tell of a wave's progress while the fence is in force.
 
         The future fails as calls of the store do.
--- a/cyclamenscale/platform/machines.py
+++ b/cyclamenscale/platform/machines.py
@@ -5,8 +5,8 @@
 from msgspec import json
 
 from cyclamenscale.errors import FieldError
-from cyclamenscale.jobs.keys import LEADER
-from cyclamenscale.jobs.model import Machine
+from cyclamenscale.jobs.keys import LEADER, wave_key
+from cyclamenscale.jobs.model import Machine, WaveRecord
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
 from cyclamenscale.platform import decode
 from cyclamenscale.platform.names import (
@@ -17,7 +17,7 @@
 from cyclamenscale.platform.workers import then
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import Compare, Put
-from cyclamenscale.util.codec import from_json
+from cyclamenscale.util.codec import encode_record, from_json
 from cyclamenscale.util.http_client import Answer, HttpClient
 
 #: Time for one call; shorter than what a proved lease has left at least.
@@ -114,11 +114,14 @@
         body = {"machine": machine, "wave": wave}
         return self.order("/machine-upkeep", body, holder, fence)
 
-    def report_wave(self, wave: int, completed: bool, fence: int) -> Future:
+    def report_wave(self, wave: int, record: WaveRecord, fence: int) -> Future:
         """Write the progress of a wave, as long as this entry leads."""
-        state = "completed" if completed else "active"
-        key = f"{WAVE_STATUS_PREFIX}{wave}"
+        state = "completed" if record.completed else "active"
+        told = json.encode({"wave": wave, "state": state})
         return self.store.txn(
             [Compare(LEADER, fence)],
-            [Put(key, json.encode({"wave": wave, "state": state}))],
+            [
+                Put(f"{WAVE_STATUS_PREFIX}{wave}", told),
+                Put(wave_key(wave), encode_record(record)),
+            ],
         )
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -4,7 +4,7 @@
 import signal
 import time
 from random import Random
-from threading import Event, Thread
+from threading import Event, Thread, Timer
 
 from loguru import logger
 from werkzeug.wrappers import Request, Response
@@ -40,6 +40,9 @@
 #: Time for the last calls in progress when the entry stops.
 LAST_CALLS_S = 1.0
 
+#: Time from the end of the drain to the exit, whatever still runs.
+EXIT_S = 1.6
+
 DECODERS = Decoders(
     names.OPERATOR_PREFIX,
     names.MANIFEST_KEY,
@@ -147,6 +150,10 @@
     def stop(self) -> None:
         """Hand over, let callers go elsewhere, and answer the last calls."""
         self.loop.submit(self.entry.drain)
+        # The platform kills what is left after its own bound; leave first.
+        last = Timer(self.settings.jobs.drain_s + EXIT_S, os._exit, (0,))
+        last.daemon = True
+        last.start()
         time.sleep(self.settings.jobs.drain_s)
         self.front.stop(LAST_CALLS_S)
         self.loop.submit(lambda: self.events.note("entry.stop")).result(1.0)
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -45,11 +45,11 @@
             )
     world.run(2.5)
     assert len(world.machines.orders) == 4
-    assert world.machines.reports == [(1, False)]
+    assert world.machines.reports[-1] == (1, 4, False)
     for name, machine in list(world.machines.machines.items()):
         world.machines.machines[name] = machine._replace(up=True, state="up")
     world.run(2.5)
-    assert world.machines.reports == [(1, False), (1, True)]
+    assert world.machines.reports[-1] == (1, 4, True)
 
 
 def test_a_new_holder_waits_before_its_first_order():
@@ -90,3 +90,35 @@
     world.finish("j1")
     world.run(0.5)
     assert world.machines.orders
+
+
+def test_an_upkeep_that_was_done_before_ends_no_run():
+    """Guards against a second run after an answer that says "done already".
+
+    The platform answers 200 for an operation that an earlier holder has
+    carried out; the machine's new worker goes on.
+    """
+    world = World(workers=3)
+    world.lead()
+    world.run(4.0)
+    world.machines.orders.append(("upkeep", "m-pool-a-0", 1))
+    world.submit("j1", Step(3, Resources(4.0, 8.0), lasting=True))
+    world.run(0.2)
+    before = sorted(world.running())
+    wave_of(world, "m-pool-a-0")
+    world.run(2.0)
+    assert sorted(world.running()) == before
+    assert not world.broken
+
+
+def test_a_new_coordinator_knows_the_machines_that_are_done():
+    """Guards against machines that are emptied again after a takeover."""
+    from cyclamenscale.jobs.model import WaveRecord
+
+    world = World()
+    world.lead()
+    wave = Wave(1, ("m-pool-a-0", "m-pool-a-1"), 20.0, 1)
+    record = WaveRecord(int(world.clock() * 1000), ("m-pool-a-0",), False)
+    world.coordinator.machines.set_wave(wave, record)
+    world.run(5.0)
+    assert world.machines.orders == [("upkeep", "m-pool-a-1", 1)]
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -312,7 +312,7 @@
         self.world = world
         self.machines: dict[str, Machine] = {}
         self.orders: list[tuple] = []
-        self.reports: list[tuple[int, bool]] = []
+        self.reports: list[tuple[int, int, bool]] = []
         self.lost = False
 
     def list_machines(self):
@@ -344,9 +344,9 @@
         """Take a machine down."""
         return self.take_down(machine, "upkeep", ("upkeep", machine, wave))
 
-    def report_wave(self, wave, completed, fence):
+    def report_wave(self, wave, record, fence):
         """Take a report."""
-        self.reports.append((wave, completed))
+        self.reports.append((wave, len(record.done), record.completed))
         return settled()
 
 
