Keep a job off the coordinator once it is done; spread lasting tasks

Stored progress goes onto the board at once now. A trace showed all tasks of a lasting step on one worker, where one may be away: they are kept apart, and moved off a machine one by one.

--- a/cyclamenscale/jobs/board.py
+++ b/cyclamenscale/jobs/board.py
@@ -105,20 +105,30 @@
         elif key.startswith(JOB):
             self.apply_job(key.removeprefix(JOB), item, gone)
         elif key.startswith(PROGRESS) and not gone:
+            record = decode_record(item.value, ProgressRecord, key)
             job = key.removeprefix(PROGRESS)
-            posting = self.posting(job)
-            if item.mod_revision > posting.progress_revision:
-                posting.progress = decode_record(
-                    item.value, ProgressRecord, key
-                )
-                posting.progress_revision = item.mod_revision
+            self.note_progress(job, record, item.mod_revision, now_s)
         elif key.startswith(WAVE) and not gone:
             number = int(key.removeprefix(WAVE))
             self.waves[number] = decode_record(item.value, WaveRecord, key)
         elif key.startswith(CANCEL) and not gone:
             self.posting(key.removeprefix(CANCEL)).cancelled = True
-        posting = self.postings.get(key.rpartition("/")[2])
-        if posting and posting.state in FINAL and not posting.final_s:
+            self.note_end(key.removeprefix(CANCEL), now_s)
+
+    def note_progress(
+        self, job: str, record: ProgressRecord, revision: int, now_s: float
+    ) -> None:
+        """Take progress over unless newer one is known."""
+        posting = self.posting(job)
+        if revision > posting.progress_revision:
+            posting.progress = record
+            posting.progress_revision = revision
+            self.note_end(job, now_s)
+
+    def note_end(self, job: str, now_s: float) -> None:
+        """Note when a job was first seen to be over."""
+        posting = self.posting(job)
+        if posting.state in FINAL and not posting.final_s:
             posting.final_s = now_s
 
     def apply_job(self, job: str, item: KeyValue, gone: bool) -> None:
--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -9,7 +9,7 @@
 
 from cyclamenscale.jobs.advice import Tickets
 from cyclamenscale.jobs.job import Job
-from cyclamenscale.jobs.ledger import Ledger
+from cyclamenscale.jobs.ledger import Ledger, OnStored
 from cyclamenscale.jobs.looks import Looks
 from cyclamenscale.jobs.machines import Machines
 from cyclamenscale.jobs.model import (
@@ -57,9 +57,16 @@
     :param state: knowledge of the term, without jobs and workers yet.
     :param ports: the ports.
     :param rng: source of jitter.
+    :param on_stored: told of each progress that is stored.
     """
 
-    def __init__(self, state: State, ports: Ports, rng: Random):
+    def __init__(
+        self,
+        state: State,
+        ports: Ports,
+        rng: Random,
+        on_stored: OnStored = lambda job, record, revision: None,
+    ):
         """Make the parts."""
         self.state = state
         self.rng = rng
@@ -67,7 +74,7 @@
         self.looks = Looks(state, ports.workers, self.orders)
         self.tickets = Tickets(state, ports.workers)
         self.placement = Placement(state, self.orders, self.tickets)
-        self.ledger = Ledger(state, ports.store)
+        self.ledger = Ledger(state, ports.store, on_stored)
         self.pacing = Pacing(state, self.orders)
         self.machines = Machines(
             state, ports.machines, self.orders, self.placement
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -29,6 +29,7 @@
     JobRecord,
     JobSpec,
     Manifest,
+    ProgressRecord,
     Queue,
     Wave,
     WorkerEntry,
@@ -278,7 +279,9 @@
             self.events,
             self.metrics,
         )
-        coordinator = Coordinator(state, self.ports, self.rng)
+        coordinator = Coordinator(
+            state, self.ports, self.rng, self.note_progress
+        )
         self.coordinator = coordinator
         for job, posting in self.board.postings.items():
             if not posting.record or posting.progress.state in FINAL:
@@ -306,6 +309,12 @@
         self.events.note("term.begin", fence=term.fence, jobs=len(state.jobs))
         self.tick(coordinator)
 
+    def note_progress(
+        self, job: str, record: ProgressRecord, revision: int
+    ) -> None:
+        """Put stored progress on the board before the watch brings it."""
+        self.board.note_progress(job, record, revision, self.loop.clock())
+
     def end_term(self, why: str) -> None:
         """Stop coordinating; another entry takes over."""
         if self.worker_feed:
--- a/cyclamenscale/jobs/ledger.py
+++ b/cyclamenscale/jobs/ledger.py
@@ -5,6 +5,7 @@
 carried out late changes nothing.
 """
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 from cyclamenscale.jobs.job import Job
@@ -27,6 +28,8 @@
 #: A started job's state may wait this long for company.
 LAZY_S = 0.15
 
+OnStored = Callable[[str, ProgressRecord, int], None]
+
 
 class Batch:
     """One transaction on its way.
@@ -50,10 +53,13 @@
 
     :param state: shared knowledge.
     :param store: the store.
+    :param on_stored: called with a job's id, its stored progress and the
+        revision of that, since a watch may be seconds behind.
     """
 
-    def __init__(self, state: State, store: StoreCalls):
+    def __init__(self, state: State, store: StoreCalls, on_stored: OnStored):
         """Start with nothing on its way."""
+        self.on_stored = on_stored
         self.state = state
         self.store = store
         self.batch: Batch | None = None
@@ -133,6 +139,7 @@
             for job, record in batch.records.items():
                 job.stored = record
                 job.stored_revision = result.revision
+                self.on_stored(job.record.id, record, result.revision)
             self.finish(batch)
             return
         leader = result.current.get(LEADER)
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -15,7 +15,7 @@
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls
 from cyclamenscale.jobs.state import State
-from cyclamenscale.jobs.worker import STOPPING, Worker
+from cyclamenscale.jobs.worker import RUNNING, STOPPING, Worker
 
 #: Time between reads of the list of machines.
 LIST_S = 1.0
@@ -32,6 +32,9 @@
 ROUND_S = 4.5
 SLACK_S = 3.0
 
+#: Time for the worker of a machine that has just come up to register.
+REGISTER_S = 4.0
+
 #: A move is given up if its machine is not empty by then.
 MOVE_PATIENCE_S = 4.0
 
@@ -101,6 +104,7 @@
         self.calls = calls
         self.orders = orders
         self.machines: dict[str, Machine] = {}
+        self.by_machine: dict[str, Worker] = {}
         self.listed_s = -1e9
         self.list_in_flight = False
         self.list_due_s = 0.0
@@ -145,6 +149,11 @@
 
     def run(self, now_s: float) -> None:
         """Decide on everything that has a time."""
+        self.by_machine = {
+            worker.entry.machine: worker
+            for worker in self.state.workers.values()
+            if worker.entry.machine and not worker.gone
+        }
         self.read_list(now_s)
         if self.listed_s < 0:
             return
@@ -173,8 +182,14 @@
         self.calls.list_machines().add_done_callback(answered)
 
     def worker_of(self, machine: Machine) -> Worker | None:
-        """Return the worker that runs on a machine, if it is known."""
-        return self.state.workers.get(machine.worker)
+        """Return the worker that runs on a machine, if it is known.
+
+        Registrations are newer than the list, which is read by the second.
+        """
+        worker = self.by_machine.get(machine.name)
+        if worker is None:
+            worker = self.state.workers.get(machine.worker)
+        return worker
 
     def run_wave(self, progress: WaveState, now_s: float) -> None:
         """Start upkeep of a wave's machines as far as its limit allows."""
@@ -263,12 +278,21 @@
             if self.down_count(operation.wave) >= self.limit(operation.wave):
                 return
         worker = self.worker_of(operation.machine)
-        if operation.ordered or not worker or worker.gone:
+        if operation.ordered:
             self.order(operation, now_s)
             return
+        if worker is None or worker.gone:
+            # A machine that has just come up registers within seconds.
+            off = machine.pool == self.standby_pool()
+            if off or now_s - operation.since_s > REGISTER_S:
+                self.order(operation, now_s)
+            return
+        worker.cordoned = operation.name
         if self.is_empty(operation, worker, now_s):
             self.order(operation, now_s)
-        elif not operation.wave and (
+            return
+        self.relocate(worker)
+        if not operation.wave and (
             now_s - operation.since_s > MOVE_PATIENCE_S
         ):
             self.give_up(operation, "it did not become empty")
@@ -306,6 +330,24 @@
                     return False
         return self.may_interrupt(worker)
 
+    def relocate(self, worker: Worker) -> None:
+        """Stop lasting tasks that keep a machine, a few at a time.
+
+        They start again on other workers; the next ones follow once these
+        are at work.
+        """
+        stopped: set = set()
+        for run in list(worker.runs.values()):
+            if not run.task or run.phase != RUNNING:
+                continue
+            step = run.task.step
+            if not step.spec.lasting or step in stopped:
+                continue
+            away = step.away() - (not run.at_work)
+            if not step.spec.away_limit or away < step.spec.away_limit:
+                stopped.add(step)
+                self.orders.stop(run, "its machine is being emptied")
+
     def may_interrupt(self, worker: Worker) -> bool:
         """Return whether the lasting tasks on a worker may be away."""
         steps: dict = {}
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -226,6 +226,7 @@
     :ivar capacity: its resources.
     :ivar leaving: whether it is about to stop.
     :ivar remaining_ms: least time left while it is leaving.
+    :ivar machine: name of the machine that it runs on, or empty.
     """
 
     id: str
@@ -238,6 +239,7 @@
     capacity: Resources
     leaving: bool = False
     remaining_ms: float = 0.0
+    machine: str = ""
 
 
 class RunReport(NamedTuple):
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -219,22 +219,34 @@
                 for run in worker.runs.values()
                 if run.fills
             )
-        # Lasting tasks share machines, so that others stay free to move.
-        lasting = 0
-        if spec.lasting:
-            lasting = -sum(
-                run.task is not None and run.task.step.spec.lasting
-                for run in worker.runs.values()
-            )
         return (
             worker.id in task.avoid,
             worker.demerits > 0,
             far,
             filling,
-            lasting,
+            *(self.rank_lasting(task, worker) if spec.lasting else ()),
             -worker.free_share,
         )
 
+    def rank_lasting(self, task: Task, worker: Worker) -> tuple:
+        """Return the part of the key that keeps lasting tasks apart.
+
+        Tasks of one step go to different workers and racks, since only so
+        many of them may be interrupted at once. Different jobs share
+        workers, so that other machines stay free to move.
+        """
+        step, rack = task.step, worker.entry.rack
+        beside = sum(
+            run.worker.entry.rack == rack
+            for other in step.tasks
+            for run in other.runs
+        )
+        lasting = sum(
+            run.task is not None and run.task.step.spec.lasting
+            for run in worker.runs.values()
+        )
+        return (count_on(step, worker), beside, -lasting)
+
     def reserve(
         self,
         step: StepState,
--- a/cyclamenscale/platform/decode.py
+++ b/cyclamenscale/platform/decode.py
@@ -169,6 +169,7 @@
         resources(field(table, "capacity", dict, where), f"{where}.capacity"),
         state == "draining",
         float(field(table, "remaining-ms", NUMBER, where, 0)),
+        field(table, "machine", str, where, ""),
     )
 
 
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -122,3 +122,52 @@
     world.coordinator.machines.set_wave(wave, record)
     world.run(5.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-1", 1)]
+
+
+def test_a_machine_whose_worker_the_list_lacks_is_not_taken_unasked():
+    """Guards against an order that ends tasks of a worker just registered.
+
+    The list of machines is read by the second; a worker that registers in
+    between takes tasks at once.
+    """
+    world = World(workers=3)
+    machine = world.machines.machines["m-pool-a-0"]
+    world.machines.machines["m-pool-a-0"] = machine._replace(worker="")
+    world.lead()
+    world.run(4.0)
+    world.submit("j1", LASTING)
+    world.run(0.2)
+    elsewhere = next(
+        task for task, _, w in world.running("j1") if w != "pool-a-0"
+    )
+    world.at_work_share[elsewhere] = 0.0
+    world.run(0.2)
+    wave_of(world, "m-pool-a-0")
+    world.run(2.0)
+    assert not world.machines.orders
+    assert not world.broken
+
+
+def test_lasting_tasks_of_a_step_go_to_different_workers():
+    """Guards against steps that no machine's upkeep can spare."""
+    world = World(workers=4)
+    world.lead()
+    world.run()
+    world.submit("j1", LASTING._replace(worker_limit=0, count=4))
+    world.run()
+    assert len({worker for _, _, worker in world.running()}) == 4
+
+
+def test_lasting_tasks_are_moved_off_a_machine_one_by_one():
+    """Guards against upkeep that waits for ever for tasks that last."""
+    world = World(workers=2)
+    world.lead()
+    world.run(4.0)
+    step = LASTING._replace(worker_limit=0, count=4)
+    world.submit("j1", step)
+    world.run(0.2)
+    wave_of(world, "m-pool-a-0")
+    world.run(3.0)
+    assert world.machines.orders
+    assert len(world.running("j1")) == 4
+    assert not world.broken
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -383,7 +383,15 @@
         """Add a worker with its machine."""
         rack = f"r{len(self.workers.workers) // 2}"
         entry = WorkerEntry(
-            name, 1, pool, f"{name}:1", "dc", rack, ("a", rack), CAPACITY
+            name,
+            1,
+            pool,
+            f"{name}:1",
+            "dc",
+            rack,
+            ("a", rack),
+            CAPACITY,
+            machine=f"m-{name}",
         )
         worker = FakeWorker(entry, self.clock)
         self.workers.workers[name] = worker
