--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -19,21 +19,23 @@
 #: Share of a machine that is filled before another one is wanted.
 FILL_SHARE = 0.9
 
-#: A pool becomes hot above the first share of its own machines, and is no
-#: longer hot below the second.
-HOT_SHARE = 0.9
-COLD_SHARE = 0.45
+#: A pool takes its turn once its short tasks need at least this many
+#: machines, and more than those of all other pools together.
+TURN_MACHINES = 1.0
+
+#: A pool gives a machine away only if the rest is filled up to this share.
+RELEASE_SHARE = 0.7
 
 #: A machine that its pool does not need goes back after this time; a move
 #: costs about as much as a second in a pool.
-IDLE_S = 1.2
+IDLE_S = 1.5
 
 #: A machine that has arrived stays at least this long.
 STAY_S = 1.0
 
 #: Time before an expected turn at which machines set out: a move takes the
 #: platform about 1.5 s, and the worker has to register.
-LEAD_S = 2.0
+LEAD_S = 2.3
 
 #: An expected turn that does not come is given up after this time.
 MISSED_S = 1.5
@@ -52,18 +54,30 @@
     :ivar processors: processors of one machine.
     :ivar used: processors that its runs have set aside.
     :ivar waiting: processors that its waiting tasks need.
+    :ivar lasting: processors of its lasting runs, a part of those used.
     """
 
     machines: int
     processors: float
     used: float
     waiting: float
+    lasting: float = 0.0
 
     @property
     def demand(self) -> float:
         """Return the processors that could be in use now."""
         return self.used + self.waiting
 
+    @property
+    def short(self) -> float:
+        """Return the demand of tasks that do not last."""
+        return self.demand - self.lasting
+
+    @property
+    def needed(self) -> int:
+        """Return the number of machines below which none is given away."""
+        return ceil(self.demand / (self.processors * RELEASE_SHARE))
+
     @property
     def wanted(self) -> int:
         """Return the number of machines that would hold the demand."""
@@ -82,10 +96,10 @@
 
 
 class Turn(NamedTuple):
-    """A time at which a pool became hot.
+    """A time at which most of the demand came to a pool.
 
     :ivar pool: the pool.
-    :ivar at_s: when.
+    :ivar at_s: when it began.
     :ivar machines: most machines it wanted then.
     """
 
@@ -95,25 +109,34 @@
 
 
 class Rhythm:
-    """Learns the turns of the pools."""
+    """Learns the turns of the pools.
+
+    :ivar hot: the pool whose turn it is, or empty.
+    """
 
     def __init__(self):
         """Start without turns."""
         self.turns: list[Turn] = []
-        self.hot: set[str] = set()
+        self.hot = ""
+
+    def note(self, loads: dict[str, PoolLoad], now_s: float) -> bool:
+        """Note whose turn it is.
 
-    def note(self, loads: dict[str, PoolLoad], now_s: float) -> None:
-        """Note which pools have become hot."""
+        :returns: whether a turn has begun.
+        """
+        total = sum(load.short for load in loads.values())
         for pool, load in loads.items():
-            own = load.machines * load.processors
-            if pool in self.hot:
-                if load.demand < COLD_SHARE * own:
-                    self.hot.discard(pool)
+            if pool == self.hot:
                 self.raise_peak(pool, load.wanted)
-            elif own and load.demand > HOT_SHARE * own:
-                self.hot.add(pool)
+            elif (
+                load.short > TURN_MACHINES * load.processors
+                and load.short > total / 2
+            ):
+                self.hot = pool
                 self.turns.append(Turn(pool, now_s, load.wanted))
                 del self.turns[:-TURNS_LIMIT]
+                return True
+        return False
 
     def raise_peak(self, pool: str, wanted: int) -> None:
         """Note how many machines the latest turn of a pool wants."""
@@ -126,11 +149,7 @@
 
     def spacing_s(self) -> float:
         """Return the time between turns, 0 if there is no rhythm."""
-        starts = [
-            turn.at_s
-            for index, turn in enumerate(self.turns)
-            if not index or self.turns[index - 1].pool != turn.pool
-        ]
+        starts = [turn.at_s for turn in self.turns]
         gaps = [b - a for a, b in zip(starts, starts[1:], strict=False)][-3:]
         if len(gaps) < 2:
             return 0.0
@@ -167,13 +186,22 @@
     """Decides on moves between pools; pure.
 
     :ivar rhythm: the turns of the pools.
+    :ivar homes: machines that each pool had when it was first seen.
     """
 
     def __init__(self):
         """Start without history."""
         self.rhythm = Rhythm()
+        self.homes: dict[str, int] = {}
         self.unneeded_s: dict[str, float] = {}
 
+    def floor(self, pool: str) -> int:
+        """Return how many machines a pool keeps without demand.
+
+        While no rhythm is known, any pool may be the next to need its own.
+        """
+        return 1 if self.rhythm.spacing_s() else self.homes.get(pool, 1)
+
     def moves(
         self,
         loads: dict[str, PoolLoad],
@@ -188,28 +216,49 @@
         :param spares: machines that may be moved, standby ones included.
         :returns: machines with their target pools.
         """
+        for pool, load in loads.items():
+            self.homes.setdefault(pool, load.machines)
         self.rhythm.note(loads, now_s)
         wanted = {pool: load.wanted for pool, load in loads.items()}
+        needed = {
+            pool: max(load.needed, self.floor(pool))
+            for pool, load in loads.items()
+        }
         turn = self.rhythm.expected(loads, now_s)
         if turn:
             wanted[turn.pool] = max(wanted[turn.pool], turn.machines)
+            needed[turn.pool] = max(needed[turn.pool], turn.machines)
         short = Counter()
         for pool, load in loads.items():
             waits = load.waiting > 0 or (turn and pool == turn.pool)
             if waits and wanted[pool] > load.machines:
                 short[pool] = wanted[pool] - load.machines
+        return self.assign(loads, standby, spares, short, needed, now_s)
+
+    def assign(
+        self,
+        loads: dict[str, PoolLoad],
+        standby: str,
+        spares: list[Spare],
+        short: Counter,
+        needed: dict[str, int],
+        now_s: float,
+    ) -> list[tuple[Machine, str]]:
+        """Return the moves that fill what is short.
+
+        :param short: machines that pools lack.
+        :param needed: machines that pools keep.
+        """
         taken: Counter[str] = Counter()
         moves = []
-        spares = sorted(
+        for spare in sorted(
             spares,
             key=lambda spare: (spare.machine.pool != standby, spare.runs),
-        )
-        for spare in spares:
+        ):
             source = spare.machine.pool
-            if source != standby:
-                load = loads.get(source)
-                left = load.machines - taken[source] if load else 1
-                if load and left <= max(wanted[source], 1):
+            if source in loads:
+                left = loads[source].machines - taken[source]
+                if left <= needed[source]:
                     self.unneeded_s.pop(spare.machine.name, None)
                     continue
             target = self.neediest(short, source)
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -217,7 +217,7 @@
         ready.sort(key=self.load_of)
         if self.has_time(progress, left, now_s):
             hot = self.capacity.rhythm.hot
-            ready = [machine for machine in ready if machine.pool not in hot]
+            ready = [machine for machine in ready if machine.pool != hot]
         # One more than may be down is emptied ahead.
         for machine in ready[: max(wave.limit + 1 - down, 0)]:
             self.begin(Operation(machine, now_s, wave=wave.number))
@@ -490,9 +490,16 @@
         if not self.may_order(now_s):
             return
         standby = self.standby_pool()
+        turns = len(self.capacity.rhythm.turns)
         moves = self.capacity.moves(
             self.loads(), standby, self.spares(now_s), now_s
         )
+        if len(self.capacity.rhythm.turns) > turns:
+            self.state.events.note(
+                "pool.turn",
+                pool=self.capacity.rhythm.hot,
+                spacing_s=round(self.capacity.rhythm.spacing_s(), 2),
+            )
         for machine, pool in moves:
             self.begin(Operation(machine, now_s, pool=pool))
 
@@ -511,10 +518,16 @@
             target = operation.pool if operation else ""
             counts[target or machine.pool] += 1
         used: Counter[str] = Counter()
+        lasting: Counter[str] = Counter()
         size: dict[str, float] = {}
         for worker in state.workers.values():
             entry = worker.entry
             used[entry.pool] += worker.used.processors
+            lasting[entry.pool] += sum(
+                run.need.processors
+                for run in worker.runs.values()
+                if run.task and run.task.step.spec.lasting and not run.fills
+            )
             size[entry.pool] = max(
                 size.get(entry.pool, 0.0), entry.capacity.processors
             )
@@ -525,6 +538,7 @@
                 size.get(pool, default) or default,
                 used[pool],
                 self.placement.backlog[pool],
+                lasting[pool],
             )
             for pool in pools
             if counts[pool] or self.placement.backlog[pool]
--- /dev/null
+++ b/test/jobs/test_capacity.py
@@ -0,0 +1,102 @@
+"""Tests of moves between pools, from loads alone."""
+
+from cyclamenscale.jobs.capacity import (
+    IDLE_S,
+    LEAD_S,
+    Capacity,
+    PoolLoad,
+    Spare,
+)
+from cyclamenscale.jobs.model import Machine
+
+POOLS = ("a", "b", "c", "d")
+IDLE = PoolLoad(6, 64.0, 20.0, 0.0, 20.0)
+#: A turn asks for about five times the mean, more than a pool holds.
+TURN = PoolLoad(6, 64.0, 380.0, 300.0, 20.0)
+
+
+def machine(name, pool):
+    """Return a machine that is up."""
+    return Machine(name, pool, True, "up", "")
+
+
+def standby(count=6):
+    """Return spares of the standby pool."""
+    return [Spare(machine(f"s{n}", "off"), 0) for n in range(count)]
+
+
+def loads(**others):
+    """Return idle pools, but for those given."""
+    return {pool: others.get(pool, IDLE) for pool in POOLS}
+
+
+def play_turns(capacity, spacing_s, *pools):
+    """Let pools take turns; return the time of the last beginning."""
+    now_s = 0.0
+    for pool in pools:
+        now_s += spacing_s
+        capacity.moves(loads(**{pool: TURN}), "off", [], now_s)
+    return now_s
+
+
+def test_a_pool_in_its_turn_gets_the_standby_machines():
+    """Guards against waiting tasks while machines stand by.
+
+    Pattern: demand by turns, each above what the pool holds.
+    """
+    moves = Capacity().moves(loads(b=TURN), "off", standby(), 1.0)
+    assert [pool for _, pool in moves] == ["b"] * 6
+
+
+def test_machines_set_out_before_an_expected_turn():
+    """Guards against a turn that begins without machines every time.
+
+    Pattern: turns that come round at a fixed spacing.
+    """
+    capacity = Capacity()
+    last_s = play_turns(capacity, 8.0, "a", "b", "c")
+    early_s = last_s + 8.0 - LEAD_S + 0.1
+    moves = capacity.moves(loads(), "off", standby(), early_s)
+    assert {pool for _, pool in moves} == {"d"}
+    last_s = play_turns(capacity, 8.0, "d")
+
+
+def test_turns_without_rhythm_are_not_foretold():
+    """Guards against moves on a forecast that has no ground.
+
+    Pattern: bursts at irregular times.
+    """
+    capacity = Capacity()
+    for pool, now_s in (("a", 1.0), ("b", 4.0), ("c", 14.0)):
+        capacity.moves(loads(**{pool: TURN}), "off", [], now_s)
+    for tenth in range(200):
+        now_s = 14.0 + tenth / 10
+        assert not capacity.moves(loads(), "off", standby(), now_s)
+
+
+def test_pools_keep_their_machines_until_a_rhythm_is_known():
+    """Guards against a pool that is shrunk just before its first turn."""
+    capacity = Capacity()
+    spares = [Spare(machine(f"b{n}", "b"), 0) for n in range(3)]
+    for now_s in (0.0, IDLE_S + 1, 2 * IDLE_S + 2):
+        assert not capacity.moves(loads(), "off", spares, now_s)
+
+
+def test_idle_machines_go_back_once_the_rhythm_is_known():
+    """Guards against machines that are paid for and not used."""
+    capacity = Capacity()
+    last_s = play_turns(capacity, 8.0, "a", "b", "c")
+    spares = [Spare(machine(f"b{n}", "b"), 0) for n in range(3)]
+    capacity.moves(loads(c=TURN), "off", spares, last_s + 0.1)
+    now_s = last_s + 0.2 + IDLE_S
+    hot = loads(c=TURN._replace(machines=12))
+    moves = capacity.moves(hot, "off", spares, now_s)
+    assert {pool for _, pool in moves} == {"off"}
+
+
+def test_a_pool_with_work_gives_no_machine_away():
+    """Guards against moves that make their source short."""
+    capacity = Capacity()
+    busy = PoolLoad(6, 64.0, 300.0, 0.0, 20.0)
+    spares = [Spare(machine("a0", "a"), 0)]
+    assert not capacity.moves(loads(a=busy, b=TURN), "", spares, 1.0)
