--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -20,8 +20,12 @@
 FILL_SHARE = 0.9
 
 #: A pool takes its turn once its short tasks need at least this many
-#: machines, and more than those of all other pools together.
-TURN_MACHINES = 1.0
+#: machines, and this share of what all pools need.
+TURN_MACHINES = 0.75
+TURN_SHARE = 0.6
+
+#: Pools that change the lead back and forth within this time are one turn.
+TURN_MIN_S = 2.5
 
 #: A pool gives a machine away only if the rest is filled up to this share.
 RELEASE_SHARE = 0.7
@@ -130,7 +134,8 @@
                 self.raise_peak(pool, load.wanted)
             elif (
                 load.short > TURN_MACHINES * load.processors
-                and load.short > total / 2
+                and load.short > TURN_SHARE * total
+                and not self.is_relapse(pool, now_s)
             ):
                 self.hot = pool
                 self.turns.append(Turn(pool, now_s, load.wanted))
@@ -138,6 +143,13 @@
                 return True
         return False
 
+    def is_relapse(self, pool: str, now_s: float) -> bool:
+        """Return whether a pool had the turn just before the latest one."""
+        if len(self.turns) < 2:
+            return False
+        recent = now_s - self.turns[-1].at_s < TURN_MIN_S
+        return recent and self.turns[-2].pool == pool
+
     def raise_peak(self, pool: str, wanted: int) -> None:
         """Note how many machines the latest turn of a pool wants."""
         for index in range(len(self.turns) - 1, -1, -1):
