--- a/cyclamenscale/platform/kv.py
+++ b/cyclamenscale/platform/kv.py
@@ -57,11 +57,17 @@
     )
 
 
-def then(call: Future, decode: Callable[[Answer], Any], name: str) -> Future:
+def then(
+    call: Future,
+    decode: Callable[[Answer], Any],
+    name: str,
+    writes: bool = False,
+) -> Future:
     """Return a future with the decoded answer of a call.
 
-    :param decode: gets an answer that is neither 429 nor 5xx.
-    :param name: name of the call, for errors; writes begin with a star.
+    :param decode: gets an answer that is no refusal.
+    :param name: name of the call, for errors.
+    :param writes: whether a call without an answer may have had an effect.
     """
     outcome: Future = Future()
 
@@ -69,7 +75,7 @@
         error = done.exception()
         if error is not None:
             certain = isinstance(error, CallNotSentError)
-            if certain or not name.startswith("*"):
+            if certain or not writes:
                 kind = StoreUnavailableError
             else:
                 kind = StoreAnswerLostError
@@ -219,7 +225,7 @@
                 return TxnResult(False, 0, current)
             return TxnResult(True, table["revision"], {})
 
-        return then(self.post("/kv-txn", body), decode, "*txn")
+        return then(self.post("/kv-txn", body), decode, "txn", writes=True)
 
     def grant_lease(self, ttl_ms: int) -> Future:
         """Make a lease."""
@@ -228,14 +234,16 @@
             return from_json(answer.body, "lease")["lease"]
 
         call = self.post("/kv-lease", {"ttl-ms": ttl_ms})
-        return then(call, decode, "*lease")
+        return then(call, decode, "lease", writes=True)
 
     def keep_lease(self, lease: int) -> Future:
         """Renew a lease."""
         call = self.post(f"/kv-keep/{lease}", timeout_ms=RENEW_TIMEOUT_MS)
-        return then(call, lambda answer: answer.status == 200, "*keep")
+        return then(
+            call, lambda answer: answer.status == 200, "keep", writes=True
+        )
 
     def end_lease(self, lease: int) -> Future:
         """End a lease."""
         call = self.post(f"/kv-lease-end/{lease}", method="DELETE")
-        return then(call, lambda answer: None, "*lease-end")
+        return then(call, lambda answer: None, "lease-end", writes=True)
--- /dev/null
+++ b/test/platform/standin.py
@@ -0,0 +1,242 @@
+"""Stand-in of the users' platform: store, workers and machines over HTTP.
+
+The store's state is the stand-in store's; workers end their tasks by
+themselves after a while.
+"""
+
+import time
+from base64 import b64decode, b64encode
+from threading import Lock
+
+from msgspec import json
+from werkzeug.wrappers import Request, Response
+
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.jobs.model import WorkerEntry
+from cyclamenscale.standin.http import HttpServer, dropped
+from cyclamenscale.standin.state import (
+    Check,
+    DeleteOp,
+    PutOp,
+    RangeOp,
+    StoreState,
+)
+from test.jobs.world import FakeWorker
+
+MANIFEST = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "plan.example",
+            "prefix": "/replan/",
+            "service": "pool-a",
+            "priority": 0,
+            "attempts": 2,
+            "stretch": 1.6,
+            "target-latency-ms": 600,
+        }
+    ],
+    "services": [{"name": "pool-a", "admission-check": True}],
+    "limits": {"max-body-bytes": 4096},
+}
+
+
+def reply(body, status=200) -> Response:
+    """Make a JSON answer."""
+    return Response(json.encode(body), status, mimetype="application/json")
+
+
+def row(stored) -> dict:
+    """Return an item as the platform shows it."""
+    key = stored.key.decode()
+    if not stored.version:
+        revision = stored.mod_revision
+        return {"key": key, "revision": revision, "tombstone": True}
+    return {
+        "key": key,
+        "value": b64encode(stored.value).decode(),
+        "revision": stored.mod_revision,
+        "created": stored.create_revision,
+        "lease": stored.lease,
+    }
+
+
+def span(prefix: str) -> RangeOp:
+    """Return the range of a prefix."""
+    start = prefix.encode()
+    return RangeOp(start, start[:-1] + bytes((start[-1] + 1,)))
+
+
+class PlatformStandIn:
+    """One address for the store, the workers and the machines.
+
+    :ivar mode: ``up``, ``refuse`` (503), ``lost`` (writes are done and not
+        answered).
+    :ivar task_s: how long tasks run.
+    """
+
+    def __init__(self, workers: int = 2, task_s: float = 0.1):
+        """Register workers, all at this server's address."""
+        self.state = StoreState()
+        self.server = HttpServer(self.handle, "127.0.0.1:0", 48)
+        self.mode = "up"
+        self.task_s = task_s
+        # Guards workers.
+        self.lock = Lock()
+        self.workers: dict[str, FakeWorker] = {}
+        for number in range(workers):
+            self.register(f"w{number}")
+        self.write("op/config", MANIFEST)
+
+    def write(self, key: str, body: dict) -> None:
+        """Write a key as the operator or a worker does."""
+        put = PutOp(key.encode(), json.encode(body), 0)
+        self.state.transact([], [put], [])
+
+    def register(self, name: str) -> None:
+        """Add a worker."""
+        entry = WorkerEntry(
+            name,
+            5,
+            "pool-a",
+            self.server.address,
+            "dc",
+            "r1",
+            ("a", "r1"),
+            Resources(8.0, 8.0),
+        )
+        self.workers[name] = FakeWorker(entry, time.monotonic)
+        body = {
+            "service": "pool-a",
+            "address": self.server.address,
+            "zone": "dc",
+            "state": "ready",
+            "sequence": 1,
+            "born": 5,
+            "capacity": {"cpu": 8000, "mem-mb": 8192},
+            "labels": ["a", "r1"],
+            "machine": f"m-{name}",
+        }
+        self.write(f"servers/{name}", body)
+
+    def handle(self, request: Request) -> Response:
+        """Serve one call."""
+        path = request.path
+        if path.startswith("/kv-"):
+            if self.mode == "refuse":
+                return reply({}, 503)
+            answer = self.serve_store(request, path)
+            if self.mode == "lost" and path == "/kv-txn":
+                raise dropped()
+            return answer
+        if path == "/machines":
+            return reply({"machines": [], "next-token": None})
+        return self.serve_worker(request, path)
+
+    def serve_store(self, request: Request, path: str) -> Response:
+        """Serve a call of the store."""
+        args = request.args
+        if path == "/kv-key":
+            _, found = self.state.read(RangeOp(args["key"].encode()))
+            return (
+                reply(row(found.items[0])) if found.items else reply({}, 404)
+            )
+        if path == "/kv-range":
+            revision, found = self.state.read(span(args["prefix"]))
+            items = [row(stored) for stored in found.items]
+            body = {"items": items, "has-more": False, "as-of": revision}
+            return reply(body)
+        if path == "/kv-watch":
+            return self.watch(args)
+        if path == "/kv-txn":
+            return self.txn(json.decode(request.get_data()))
+        if path == "/kv-lease":
+            ttl_ms = json.decode(request.get_data())["ttl-ms"]
+            lease = self.state.grant(max(ttl_ms // 1000, 1))
+            return reply({"lease": lease, "ttl-ms": ttl_ms})
+        lease = int(path.rpartition("/")[2])
+        if path.startswith("/kv-keep/"):
+            return reply({}, 200 if self.state.keep_alive(lease) else 404)
+        self.state.revoke(lease)
+        return reply({})
+
+    def watch(self, args) -> Response:
+        """Wait for changes."""
+        prefix = args["prefix"].encode()
+        after = int(args["after"])
+        end_s = time.monotonic() + int(args["wait-ms"]) / 1000
+        with self.state.changed:
+            while True:
+                if after < self.state.compacted_revision:
+                    return reply({}, 410)
+                events = [
+                    row(stored)
+                    for revision, changes in self.state.history
+                    for stored in changes
+                    if revision > after and stored.key.startswith(prefix)
+                ]
+                left_s = end_s - time.monotonic()
+                if events or left_s <= 0 or self.server.closing.is_set():
+                    revision = self.state.revision
+                    return reply({"events": events, "as-of": revision})
+                self.state.changed.wait(min(left_s, 0.2))
+
+    def txn(self, body: dict) -> Response:
+        """Make a transaction."""
+        checks = [
+            Check(item["key"].encode(), "MOD", "EQUAL", item["revision"])
+            for item in body["expected-rev"]
+        ]
+        writes = [
+            PutOp(
+                put["key"].encode(),
+                b64decode(put["value"]),
+                put.get("lease", 0),
+            )
+            for put in body["puts"]
+        ]
+        writes += [DeleteOp(key.encode()) for key in body["deletes"]]
+        reads = [RangeOp(check.key) for check in checks]
+        done, revision, answers = self.state.transact(checks, writes, reads)
+        if done:
+            return reply({"revision": revision})
+        items = [row(s) for answer in answers for s in answer.items]
+        return reply({"items": items}, 412)
+
+    def serve_worker(self, request: Request, path: str) -> Response:
+        """Serve an order to a worker."""
+        name = request.headers["X-Cyclamenscale-Target-Instance"]
+        body = json.decode(request.get_data())
+        with self.lock:
+            worker = self.workers.get(name)
+            if worker is None:
+                return reply({"clock-ms": 1}, 421)
+            clock_ms = worker.now_ms()
+            if body["fencing-token"] < worker.fence:
+                return reply({"clock-ms": clock_ms, "reason": "fence"}, 409)
+            worker.fence = body["fencing-token"]
+            if path == "/hold":
+                return self.hold(worker, body)
+            key = (body["task"], body["run-id"])
+            if path == "/run-start":
+                worker.runs[key] = time.monotonic()
+            elif key in worker.runs:
+                worker.end(key, "stopped")
+            return reply({"clock-ms": clock_ms})
+
+    def hold(self, worker: FakeWorker, body: dict) -> Response:
+        """Report, with tasks that have run long enough as done."""
+        for key, since_s in list(worker.runs.items()):
+            if time.monotonic() - since_s > self.task_s:
+                worker.end(key, "done")
+        seen = body["last-seen"]
+        worker.ends = [end for end in worker.ends if end.number > seen]
+        return reply(
+            {
+                "clock-ms": worker.now_ms(),
+                "born": 5,
+                "running": [[*key, "", 50] for key in worker.runs],
+                "ended": [list(end) for end in worker.ends],
+            }
+        )
--- /dev/null
+++ b/test/platform/test_program.py
@@ -0,0 +1,236 @@
+"""Tests of a whole job entry against the stand-in platform."""
+
+import threading
+
+import pycurl
+import pytest
+from msgspec import json
+
+from cyclamenscale.jobs.keys import LEADER
+from cyclamenscale.platform.program import Program
+from cyclamenscale.settings import (
+    EntrySettings,
+    JobsSettings,
+    PlatformSettings,
+    Settings,
+    StoreSettings,
+)
+from cyclamenscale.standin.state import RangeOp
+from cyclamenscale.util.curl import new_curl
+from test.platform.standin import PlatformStandIn
+
+JOB = {"spec": "x", "steps": [{"count": 2, "cpu": 1000, "mem-mb": 10}]}
+ID = "00000000000000a1"
+PATIENCE_S = 20.0
+
+
+class Entry:
+    """A job entry in this process, with its servers."""
+
+    def __init__(self, platform, name="e1"):
+        """Start the loop and the servers."""
+        address = platform.server.address
+        settings = Settings(
+            entry=EntrySettings(name=name),
+            store=StoreSettings(address=address),
+            platform=PlatformSettings(address=address),
+            jobs=JobsSettings(look_s=0.1, watch_ms=300, lease_ttl_ms=1000),
+        )
+        self.program = Program(settings)
+        self.program.events.fd = -1
+        self.thread = threading.Thread(
+            target=self.program.loop.run, daemon=True
+        )
+        self.program.front.start()
+        self.program.ready.start()
+        self.thread.start()
+        self.program.loop.submit(self.program.entry.start)
+
+    def call(self, method, path, body=None, host="plan.example"):
+        """Make a caller's call; return status and body."""
+        url = f"http://{self.program.front.address}{path}"
+        curl = new_curl(url, 5000)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.HTTPHEADER, [f"Host: {host}"])
+        if body is not None:
+            data = body if isinstance(body, bytes) else json.encode(body)
+            curl.setopt(pycurl.POSTFIELDS, data)
+        answer = curl.perform_rb()
+        return curl.getinfo(pycurl.RESPONSE_CODE), answer
+
+    def wait_for(self, check):
+        """Wait until a check made in the loop's thread holds."""
+        held = threading.Event()
+
+        def look():
+            if check():
+                held.set()
+            else:
+                self.program.loop.call_later(0.02, look)
+
+        self.program.loop.submit(look)
+        assert held.wait(PATIENCE_S)
+
+    def stop(self):
+        """Stop the servers and the loop."""
+        self.program.front.stop(0.5)
+        self.program.ready.stop(0.5)
+        self.program.loop.stop()
+        self.thread.join(5.0)
+
+
+@pytest.fixture
+def platform():
+    standin = PlatformStandIn()
+    standin.server.start()
+    yield standin
+    standin.server.stop()
+
+
+@pytest.fixture
+def entry(platform):
+    found = Entry(platform)
+    found.wait_for(found.program.entry.is_ready)
+    yield found
+    found.stop()
+
+
+def posting(entry, job=ID):
+    """Return a job's posting, if there is one."""
+    return entry.program.entry.board.postings.get(job)
+
+
+def test_a_job_is_accepted_runs_and_is_shown_as_completed(entry):
+    """Guards against any break in the whole path."""
+    assert entry.call("POST", f"/replan/{ID}", JOB)[0] == 200
+    entry.wait_for(lambda: posting(entry) and posting(entry).state == "done")
+    status, body = entry.call("GET", f"/replan/{ID}")
+    assert (status, json.decode(body)) == (200, {"state": "completed"})
+    status, body = entry.call("GET", "/replan/")
+    assert (status, json.decode(body)) == (200, {"pending": 0})
+
+
+def test_the_same_id_again_is_the_same_job(entry):
+    """Guards against a job that runs twice because its caller repeats it."""
+    assert entry.call("POST", f"/replan/{ID}", JOB)[0] == 200
+    first = posting(entry).revision
+    assert entry.call("POST", f"/replan/{ID}", JOB)[0] == 200
+    assert posting(entry).revision == first
+
+
+def test_calls_that_name_nothing_are_told_apart(entry):
+    """Guards against a missing queue that looks like a missing job."""
+    assert entry.call("GET", f"/replan/{ID}")[0] == 410
+    assert entry.call("DELETE", f"/replan/{ID}")[0] == 410
+    assert entry.call("GET", f"/other/{ID}")[0] == 404
+    assert entry.call("GET", "/replan/", host="no.example")[0] == 404
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{",
+        {"spec": "x", "steps": []},
+        {"spec": 5, "steps": [{}]},
+        {"spec": "x" * 4001, "steps": [{}]},
+        {"spec": "x", "steps": [{"after": [0]}]},
+        {"spec": "x", "steps": [{"count": -1}]},
+        {"spec": "x", "steps": [{"cpu": -5}]},
+        {"spec": "x", "steps": [{"cpu": "many"}]},
+    ],
+)
+def test_a_malformed_job_is_refused_and_changes_nothing(entry, body):
+    """Guards against bad input in the store."""
+    assert entry.call("POST", f"/replan/{ID}", body)[0] == 400
+    assert posting(entry) is None
+
+
+def test_an_id_of_another_form_is_refused(entry):
+    """Guards against keys that callers make up."""
+    assert entry.call("POST", "/replan/x-y", JOB)[0] == 400
+
+
+def test_a_job_is_refused_while_the_store_is_away(entry, platform):
+    """Guards against an accepted job that is not stored."""
+    platform.mode = "refuse"
+    status, body = entry.call("POST", f"/replan/{ID}", JOB)
+    assert status == 503
+    assert json.decode(body)["error"] == "not_accepted"
+    platform.mode = "up"
+    _, found = platform.state.read(RangeOp(b"cyclamen/job/" + ID.encode()))
+    assert not found.items
+
+
+def test_a_lost_answer_of_the_store_is_no_refusal(entry, platform):
+    """Guards against "not accepted" for a job that is stored."""
+    platform.mode = "lost"
+    outcome = []
+
+    def submit():
+        outcome.append(entry.call("POST", f"/replan/{ID}", JOB)[0])
+
+    thread = threading.Thread(target=submit)
+    thread.start()
+    key = b"cyclamen/job/" + ID.encode()
+    entry.wait_for(lambda: platform.state.read(RangeOp(key))[1].items)
+    platform.mode = "up"
+    thread.join(PATIENCE_S)
+    assert outcome == [200]
+
+
+def test_a_cancelled_job_ends_as_cancelled(entry, platform):
+    """Guards against cancellations that are told and not carried out."""
+    platform.task_s = 600.0
+    entry.call("POST", f"/replan/{ID}", JOB)
+    entry.wait_for(lambda: any(w.runs for w in platform.workers.values()))
+    assert entry.call("DELETE", f"/replan/{ID}")[0] == 200
+    entry.wait_for(lambda: not any(w.runs for w in platform.workers.values()))
+    status, body = entry.call("GET", f"/replan/{ID}")
+    assert json.decode(body) == {"state": "cancelled"}
+
+
+def test_another_entry_takes_over_and_finishes_the_job(entry, platform):
+    """Guards against jobs that end with their coordinator."""
+    platform.task_s = 2.0
+    entry.wait_for(lambda: entry.program.entry.coordinator)
+    entry.call("POST", f"/replan/{ID}", JOB)
+    entry.wait_for(lambda: any(w.runs for w in platform.workers.values()))
+    other = Entry(platform, "e2")
+    try:
+        entry.program.loop.submit(entry.program.entry.drain)
+        other.wait_for(lambda: other.program.entry.coordinator)
+        other.wait_for(
+            lambda: posting(other) and posting(other).state == "done"
+        )
+        _, found = platform.state.read(RangeOp(LEADER.encode()))
+        assert found.items[0].value == b"e2"
+        status, body = other.call("GET", f"/replan/{ID}")
+        assert json.decode(body) == {"state": "completed"}
+    finally:
+        other.stop()
+
+
+def test_a_manifest_in_force_is_not_taken_back(entry, platform):
+    """Guards against an older manifest that arrives late."""
+    from test.platform.standin import MANIFEST
+
+    newer = MANIFEST | {"version": 9, "routes": []}
+    platform.write("op/config", newer)
+    entry.wait_for(lambda: entry.program.entry.manifest.version == 9)
+    platform.write("op/config", MANIFEST)
+    platform.write("op/config", {"version": "unreadable"})
+    entry.wait_for(
+        lambda: (
+            entry.program.entry.operator_feed.revision
+            >= platform.state.revision
+        )
+    )
+    assert entry.program.entry.manifest.version == 9
+    assert entry.call("GET", "/replan/")[0] == 404
+
+
+def test_an_entry_that_drains_is_not_ready(entry):
+    """Guards against callers sent to an entry that stops."""
+    assert entry.program.entry.is_ready()
+    entry.program.loop.submit(entry.program.entry.drain).result(PATIENCE_S)
+    assert not entry.program.entry.is_ready()
