--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -445,6 +445,8 @@
                 outcome=str(error) if error else "stored",
             )
             self.count_answer("submit", error)
+            took_ms = (self.loop.clock() - now_s) * 1000
+            self.metrics.timing("jobs.accept_ms", took_ms)
             if error:
                 outcome.set_exception(error)
                 return
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -275,11 +275,13 @@
         self.highest_run += 1
         return self.highest_run
 
-    def begin(self) -> None:
-        """Note that a task was started."""
-        if self.state == QUEUED:
-            self.state = RUNNING
-            self.dirty = True
+    def begin(self) -> bool:
+        """Note that a task was started; return whether it is the first."""
+        if self.state != QUEUED:
+            return False
+        self.state = RUNNING
+        self.dirty = True
+        return True
 
     def note_end(self, task: Task, how: str, checkpoint: str) -> None:
         """Note the end of a run of a task; its run is already removed.
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -2,8 +2,9 @@
 
 from concurrent.futures import Future
 
-from cyclamenscale.jobs.job import Task
+from cyclamenscale.jobs.job import Job, Task
 from cyclamenscale.jobs.model import (
+    DONE,
     END_DONE,
     END_FAILED,
     END_LAPSED,
@@ -280,15 +281,24 @@
                 worker.failed_jobs.add(job)
                 worker.demerits += 1
 
-    def job_changed(self, job) -> None:
+    def job_changed(self, job: Job) -> None:
         """Log a change of state; stop what a failed job still runs."""
-        self.state.events.note("job.state", job=job.record.id, state=job.state)
+        age_s = self.state.clock() - job.seen_s
+        self.state.events.note(
+            "job.state",
+            job=job.record.id,
+            state=job.state,
+            age_s=round(age_s, 3),
+            objective_s=round(job.objective_s, 3),
+        )
+        if job.state == DONE:
+            self.state.metrics.timing("jobs.done_ms", age_s * 1000)
         if job.ended:
             for task in job.tasks():
                 for run in list(task.runs):
                     self.orders.stop(run, "the job has ended")
 
-    def clear_cancelled(self, job) -> None:
+    def clear_cancelled(self, job: Job) -> None:
         """End a cancelled job once nothing of it runs."""
         if job.cancelled and not any(task.runs for task in job.tasks()):
             job.finish_cancel()
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -66,7 +66,9 @@
         task.runs.append(run)
         if task in task.step.waiting:
             task.step.waiting.remove(task)
-        task.job.begin()
+        if task.job.begin():
+            age_ms = (state.clock() - task.job.seen_s) * 1000
+            state.metrics.timing("jobs.first_start_ms", age_ms)
         state.events.note(
             "task.start",
             task=task.name,
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -7,7 +7,7 @@
 from threading import Event, Thread, Timer
 
 from loguru import logger
-from werkzeug.wrappers import Request, Response
+from werkzeug.wrappers import Response
 
 from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.entry import Decoders, JobEntry
@@ -117,12 +117,7 @@
 
     def serve_metrics(self, environ, start_response):
         """Serve the counters as text."""
-        Request(environ)
-        lines = [
-            f"{name.replace('.', '_')} {value}"
-            for name, value in sorted(self.metrics.snapshot().items())
-        ]
-        text = "\n".join(lines) + "\n"
+        text = self.metrics.text()
         response = Response(text, 200, mimetype="text/plain")
         return response(environ, start_response)
 
