Answer every call before a stopping entry has to leave

Ruled in by reading: a call on an open connection could wait for a slow store past the exit. Connections are closed after their next answer from the beginning of the drain, and calls wait at most 1 s then.

--- a/cyclamenscale/platform/front.py
+++ b/cyclamenscale/platform/front.py
@@ -19,6 +19,9 @@
 WAIT_DEFAULT_S = 3.0
 WAIT_MAX_S = 30.0
 
+#: Longest wait of a call at an entry that stops.
+DRAIN_WAIT_S = 1.0
+
 JOB_ID = pattern(r"[0-9a-fA-F]{16}")
 
 JSON = "application/json"
@@ -70,6 +73,9 @@
         queue = self.entry.route(host, request.path)
         job = request.path.removeprefix(queue.prefix)
         wait_s = caller_wait_s(request)
+        if self.entry.draining:
+            # The answer must be out before the entry has to leave.
+            wait_s = min(wait_s, DRAIN_WAIT_S)
         if not job and request.method == "GET":
             count = self.call(lambda: self.entry.pending(queue), wait_s)
             return answer(200, {"pending": count})
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -38,7 +38,7 @@
 IDLE_S = 30.0
 
 #: Time for the last calls in progress when the entry stops.
-LAST_CALLS_S = 1.0
+LAST_CALLS_S = 1.4
 
 #: Time from the end of the drain to the exit, whatever still runs.
 EXIT_S = 1.6
@@ -145,6 +145,7 @@
     def stop(self) -> None:
         """Hand over, let callers go elsewhere, and answer the last calls."""
         self.loop.submit(self.entry.drain)
+        self.front.begin_drain()
         # The platform kills what is left after its own bound; leave first.
         last = Timer(self.settings.jobs.drain_s + EXIT_S, os._exit, (0,))
         last.daemon = True
--- a/cyclamenscale/server.py
+++ b/cyclamenscale/server.py
@@ -233,6 +233,11 @@
         """Return whether no request runs or waits (locked)."""
         return not self.in_progress and not self.server.requests.qsize
 
+    def begin_drain(self) -> None:
+        """Close each connection after its next answer from now on."""
+        with self.changed:
+            self.draining = True
+
     def stop(self, drain_s: float) -> bool:
         """Stop without cutting a request, if all end within the time.
 
@@ -243,8 +248,8 @@
         :returns: whether all of them ended.
         """
         end_s = monotonic() + drain_s
+        self.begin_drain()
         with self.changed:
-            self.draining = True
             while not (idle := self.is_idle()) and monotonic() < end_s:
                 # A queued connection that was closed by its peer leaves the
                 # queue without a notification.
--- a/test/platform/test_program.py
+++ b/test/platform/test_program.py
@@ -234,3 +234,11 @@
     assert entry.program.entry.is_ready()
     entry.program.loop.submit(entry.program.entry.drain).result(PATIENCE_S)
     assert not entry.program.entry.is_ready()
+
+
+def test_a_call_at_a_stopping_entry_is_answered_in_time(entry, platform):
+    """Guards against a call that is cut when the entry has to leave."""
+    entry.program.loop.submit(entry.program.entry.drain).result(PATIENCE_S)
+    platform.mode = "lost"
+    assert entry.call("POST", f"/replan/{ID}", JOB)[0] == 504
+    platform.mode = "up"
