Count a failed run once, however often its end is told

Progress keeps the numbers of the failed runs instead of their count. Ruled out: cut requests at the stops, the first guess. Test: test_a_failure_that_is_told_twice_counts_once (failed before).

--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -36,7 +36,8 @@
 class Task:
     """One task.
 
-    :ivar failures: runs that ended failed.
+    :ivar failed_runs: numbers of the runs that ended failed; an end may be
+        told twice.
     :ivar runs: runs that are, or may be, on workers.
     :ivar checkpoint: last progress saved, or empty.
     :ivar avoid: workers on which it failed.
@@ -47,7 +48,7 @@
         "avoid",
         "checkpoint",
         "done",
-        "failures",
+        "failed_runs",
         "index",
         "name",
         "not_before_s",
@@ -61,7 +62,7 @@
         self.index = index
         job = step.job.record.id
         self.name = task_name(job, step.occurrence, step.number, index)
-        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.runs: list[Run] = []
         self.checkpoint = ""
         self.done = False
@@ -283,9 +284,12 @@
         self.dirty = True
         return True
 
-    def note_end(self, task: Task, how: str, checkpoint: str) -> None:
+    def note_end(
+        self, task: Task, run: int, how: str, checkpoint: str
+    ) -> None:
         """Note the end of a run of a task; its run is already removed.
 
+        :param run: number of the run.
         :param how: one of the ways in which a run ends.
         :param checkpoint: last progress saved, or empty.
         """
@@ -297,13 +301,19 @@
         if how == END_DONE and not lasting:
             self.mark_done(task)
         elif how == END_FAILED:
-            task.failures += 1
-            self.dirty = True
-            if not lasting and task.failures >= self.queue.attempts:
-                self.state = FAILED
+            self.note_failure(task, run)
         if not task.done and not task.runs:
             self.wait(task)
 
+    def note_failure(self, task: Task, run: int) -> None:
+        """Count a failed run; lasting tasks have no limit."""
+        if task.step.spec.lasting:
+            return
+        task.failed_runs.add(run)
+        self.dirty = True
+        if len(task.failed_runs) >= self.queue.attempts:
+            self.state = FAILED
+
     def wait(self, task: Task) -> None:
         """Put a task back among the waiting ones."""
         if task not in task.step.waiting:
@@ -351,8 +361,8 @@
 
 def restore_step(step: StepState, stored: StepProgress) -> None:
     """Put stored progress into a fresh step."""
-    for index, count in stored.failures:
-        step.tasks[index].failures = count
+    for index, runs in stored.failures:
+        step.tasks[index].failed_runs = set(runs)
     for index, checkpoint in stored.checkpoints:
         step.tasks[index].checkpoint = checkpoint
     for task in step.tasks:
@@ -368,13 +378,12 @@
     for task in step.tasks:
         if task.done:
             done |= 1 << task.index
-    lasting = step.spec.lasting
     return StepProgress(
         done,
         tuple(
-            (task.index, task.failures)
+            (task.index, tuple(sorted(task.failed_runs)))
             for task in step.tasks
-            if task.failures and not task.done and not lasting
+            if task.failed_runs and not task.done
         ),
         tuple(
             (task.index, task.checkpoint)
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -262,7 +262,7 @@
         if how == END_FAILED:
             task.avoid.add(worker.id)
         before = job.state
-        job.note_end(task, how, checkpoint)
+        job.note_end(task, run.number, how, checkpoint)
         if task.done or job.ended:
             for other in list(task.runs):
                 self.orders.stop(other, "the task is done or not wanted")
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -188,12 +188,12 @@
     """Progress of one step of one occurrence.
 
     :ivar done: bit set of the tasks that have ended done.
-    :ivar failures: ``(index, count)`` of failed runs.
+    :ivar failures: ``(index, numbers of the runs that failed)``.
     :ivar checkpoints: ``(index, checkpoint)`` of tasks that saved.
     """
 
     done: int = 0
-    failures: tuple[tuple[int, int], ...] = ()
+    failures: tuple[tuple[int, tuple[int, ...]], ...] = ()
     checkpoints: tuple[tuple[int, str], ...] = ()
 
 
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -168,7 +168,7 @@
         elif reason == "bad" and run.task:
             task = run.task
             self.drop(run)
-            task.job.note_end(task, END_FAILED, "")
+            task.job.note_end(task, run.number, END_FAILED, "")
             return
         else:
             worker.blocked_until_s = now_s + BLOCK_S
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -372,3 +372,25 @@
     world.run(3.0)
     assert sorted(world.running()) == before
     assert not world.broken
+
+
+def test_a_failure_that_is_told_twice_counts_once():
+    """Guards against a job that fails early after a takeover.
+
+    The end was stored, but not yet acknowledged when the coordinator
+    changed, so that the worker lists it again to the next one.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.submit("j1", SMALL._replace(count=1))
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    worker.end(("j1.0.0.0", 1), "failed")
+    ends = list(worker.ends)
+    world.run(0.3)
+    worker.ends = ends
+    world.take_over("e2")
+    world.run(4.0)
+    assert world.running()
+    assert stored(world, "j1").state == "running"
