Refuse jobs at once while the store is away

After a failure one record in half a second tries the store; the others are refused before anything is sent, and told to come back after 2 s. Retries of lost answers wait for their own timer; before, a store that failed at once would have been called in a tight loop (found by test_acceptance).

--- a/cyclamenscale/jobs/acceptance.py
+++ b/cyclamenscale/jobs/acceptance.py
@@ -32,6 +32,14 @@
 #: Pause before a write that failed is sent again.
 RETRY_S = 0.15
 
+#: After a failure without a success since, new records are refused at once
+#: for this long; then one of them tries the store again.
+PROBE_S = 0.5
+
+#: When callers that are refused should come back. An outage lasts some
+#: seconds, and callers come back only a few times.
+RETRY_AFTER_S = 2.0
+
 
 class Stored(NamedTuple):
     """A record that is in the store.
@@ -79,6 +87,7 @@
         #: When the store last answered and last failed.
         self.answered_s = 0.0
         self.failed_s = -1e9
+        self.probe_s = 0.0
 
     def create(self, key: str, value: bytes, end_s: float) -> Future:
         """Create a record unless there is one.
@@ -92,10 +101,27 @@
         if len(self.waiting) >= WAITING_LIMIT:
             write.outcome.set_exception(NotAcceptedNowError("overload", 1.0))
             return write.outcome
+        if self.is_away():
+            self.give_up(write)
+            return write.outcome
         self.waiting.append(write)
         self.schedule(0.0)
         return write.outcome
 
+    def is_away(self) -> bool:
+        """Return whether the store is taken to be away.
+
+        Nothing of a record that is refused here was sent, so the refusal
+        is true.
+        """
+        if self.failed_s <= self.answered_s:
+            return False
+        now_s = self.loop.clock()
+        if now_s < self.probe_s or self.in_flight:
+            return True
+        self.probe_s = now_s + PROBE_S
+        return False
+
     def schedule(self, delay_s: float) -> None:
         """Send what waits, after a delay."""
         if not self.scheduled:
@@ -161,7 +187,9 @@
         """Decide on a group whose transaction failed."""
         now_s = self.loop.clock()
         self.failed_s = now_s
+        self.probe_s = now_s + PROBE_S
         lost = not isinstance(error, StoreUnavailableError)
+        again: list[Write] = []
         if not isinstance(error, StoreError):
             self.events.note("accept.store_error", reason=str(error))
         for write in group:
@@ -169,15 +197,20 @@
             if write.end_s - now_s < RETRY_S or not write.maybe:
                 self.give_up(write)
             else:
-                self.waiting.append(write)
+                again.append(write)
         self.events.note(
             "accept.store_failed",
             records=len(group),
             lost=lost,
             reason=str(error),
         )
-        if self.waiting:
-            self.schedule(RETRY_S)
+        if again:
+            self.loop.call_later(RETRY_S, lambda: self.repeat(again))
+
+    def repeat(self, writes: list[Write]) -> None:
+        """Send records again whose transaction had no answer."""
+        self.waiting.extend(writes)
+        self.send()
 
     def give_up(self, write: Write) -> None:
         """Tell that a record is not stored, or that nobody knows."""
@@ -185,5 +218,5 @@
             write.outcome.set_exception(UnknownOutcomeError("store"))
         else:
             write.outcome.set_exception(
-                NotAcceptedNowError("store_unavailable", 1.0)
+                NotAcceptedNowError("store_unavailable", RETRY_AFTER_S)
             )
--- /dev/null
+++ b/test/jobs/test_acceptance.py
@@ -0,0 +1,122 @@
+"""Tests of how jobs are accepted, on a virtual clock."""
+
+from concurrent.futures import Future
+
+import pytest
+
+from cyclamenscale.errors import NotAcceptedNowError, UnknownOutcomeError
+from cyclamenscale.jobs.acceptance import PROBE_S, Acceptance
+from cyclamenscale.util.clock import VirtualClock
+from cyclamenscale.util.events import EventLog
+from test.jobs.world import FakeStore
+
+
+class FakeLoop:
+    """Timers on a virtual clock."""
+
+    def __init__(self):
+        """Start without timers."""
+        self.clock = VirtualClock(10.0)
+        self.timers = []
+
+    def call_later(self, delay_s, run):
+        """Plan a call."""
+        self.timers.append((self.clock() + delay_s, run))
+
+    def advance(self, for_s, step_s=0.05):
+        """Let time pass."""
+        end_s = self.clock() + for_s
+        while True:
+            due = [t for t in self.timers if t[0] <= self.clock() + 1e-9]
+            self.timers = [t for t in self.timers if t not in due]
+            for _, run in due:
+                run()
+            if self.clock() >= end_s - 1e-9:
+                return
+            self.clock.advance(step_s)
+
+
+class Bench:
+    """An acceptance with its store."""
+
+    def __init__(self):
+        """Start with a store that is up."""
+        self.loop = FakeLoop()
+        self.store = FakeStore()
+        events = EventLog("e1", -1, self.loop.clock)
+        self.acceptance = Acceptance(self.loop, self.store, events)
+
+    def create(self, key, wait_s=2.0) -> Future:
+        """Create a record."""
+        end_s = self.loop.clock() + wait_s
+        return self.acceptance.create(key, key.encode(), end_s)
+
+
+def test_records_are_written_in_groups():
+    """Guards against one write a job at the platform's price."""
+    bench = Bench()
+    made = [bench.create(f"k{number}") for number in range(15)]
+    bench.loop.advance(0.1)
+    assert all(future.result(0).revision for future in made)
+    assert bench.store.txns == 1
+
+
+def test_a_record_that_is_there_does_not_hold_up_the_others():
+    """Guards against a group that fails because of one repeated job."""
+    bench = Bench()
+    bench.store.put("k1", b"first")
+    made = [bench.create(key) for key in ("k0", "k1", "k2")]
+    bench.loop.advance(0.1)
+    found = [future.result(0) for future in made]
+    assert [bool(stored.revision) for stored in found] == [True, False, True]
+    assert found[1].value == b"first"
+
+
+def test_a_store_that_is_away_refuses_at_once_and_truly():
+    """Guards against callers held to their deadline in an outage."""
+    bench = Bench()
+    bench.store.mode = "down"
+    first = bench.create("k0")
+    bench.loop.advance(0.05)
+    with pytest.raises(NotAcceptedNowError):
+        first.result(0)
+    second = bench.create("k1")
+    assert second.done()
+    with pytest.raises(NotAcceptedNowError):
+        second.result(0)
+    assert not bench.store.items
+
+
+def test_the_store_is_tried_again_after_a_while():
+    """Guards against an entry that refuses after the store's return."""
+    bench = Bench()
+    bench.store.mode = "down"
+    bench.create("k0")
+    bench.loop.advance(0.05)
+    bench.store.mode = "up"
+    bench.loop.advance(PROBE_S + 0.05)
+    probe = bench.create("k1")
+    bench.loop.advance(0.05)
+    assert probe.result(0).revision
+    assert bench.create("k2") and not bench.acceptance.is_away()
+
+
+def test_a_lost_answer_is_told_as_unknown_never_as_refused():
+    """Guards against "not accepted" for a record that is written late."""
+    bench = Bench()
+    bench.store.mode = "late"
+    made = bench.create("k0", wait_s=1.0)
+    bench.loop.advance(2.0)
+    with pytest.raises(UnknownOutcomeError):
+        made.result(0)
+
+
+def test_a_lost_answer_is_resolved_by_the_same_write():
+    """Guards against a stored job whose caller is told nothing."""
+    bench = Bench()
+    bench.store.mode = "lost"
+    made = bench.create("k0")
+    bench.loop.advance(0.05)
+    bench.store.mode = "up"
+    bench.loop.advance(0.5)
+    assert made.result(0).value == b"k0"
