Leave recent orders, homes and turns of the pools to the next coordinator

Only machines that the stored record names are paused for now; an order is sent once the record names its machine.

--- a/cyclamenscale/jobs/board.py
+++ b/cyclamenscale/jobs/board.py
@@ -3,11 +3,19 @@
 from typing import NamedTuple
 
 from cyclamenscale.errors import FieldError
-from cyclamenscale.jobs.keys import CANCEL, JOB, LEADER, PROGRESS, WAVE
+from cyclamenscale.jobs.keys import (
+    CANCEL,
+    FLEET,
+    JOB,
+    LEADER,
+    PROGRESS,
+    WAVE,
+)
 from cyclamenscale.jobs.model import (
     CANCELLED,
     FINAL,
     QUEUED,
+    FleetRecord,
     JobRecord,
     ProgressRecord,
     WaveRecord,
@@ -79,6 +87,7 @@
         self.leader: Leader | None = None
         #: Progress of waves by number.
         self.waves: dict[int, WaveRecord] = {}
+        self.fleet = FleetRecord()
         self.revision = 0
         self.filled = False
 
@@ -108,6 +117,8 @@
             record = decode_record(item.value, ProgressRecord, key)
             job = key.removeprefix(PROGRESS)
             self.note_progress(job, record, item.mod_revision, now_s)
+        elif key == FLEET and not gone:
+            self.fleet = decode_record(item.value, FleetRecord, key)
         elif key.startswith(WAVE) and not gone:
             number = int(key.removeprefix(WAVE))
             self.waves[number] = decode_record(item.value, WaveRecord, key)
--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -77,7 +77,7 @@
         self.ledger = Ledger(state, ports.store, on_stored)
         self.pacing = Pacing(state, self.orders)
         self.machines = Machines(
-            state, ports.machines, self.orders, self.placement
+            state, ports.machines, ports.store, self.orders, self.placement
         )
         self.next_tick_s = 0.0
 
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -284,6 +284,7 @@
         )
         self.coordinator = coordinator
         restore(coordinator, self.board)
+        coordinator.machines.restore(self.board.fleet)
         for wave in self.waves.values():
             record = self.board.waves.get(wave.number)
             coordinator.machines.set_wave(wave, record)
--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -6,6 +6,7 @@
 PROGRESS = PREFIX + "progress/"
 CANCEL = PREFIX + "cancel/"
 WAVE = PREFIX + "wave/"
+FLEET = PREFIX + "fleet"
 
 
 def job_key(job: str) -> str:
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -9,13 +9,22 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from cyclamenscale.jobs.capacity import STAY_S, Capacity, PoolLoad, Spare
-from cyclamenscale.jobs.model import Machine, Wave, WaveRecord
+from cyclamenscale.jobs.capacity import (
+    STAY_S,
+    Capacity,
+    PoolLoad,
+    Spare,
+    Turn,
+)
+from cyclamenscale.jobs.keys import FLEET, LEADER
+from cyclamenscale.jobs.model import FleetRecord, Machine, Wave, WaveRecord
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
-from cyclamenscale.jobs.ports import MachineCalls
+from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.worker import RUNNING, STOPPING, Worker
+from cyclamenscale.store.port import Compare, Put
+from cyclamenscale.util.codec import encode_record
 
 #: Time between reads of the list of machines.
 LIST_S = 1.0
@@ -88,6 +97,7 @@
 
     :param state: shared knowledge.
     :param calls: the platform's machines.
+    :param store: keeps what the next coordinator has to know.
     :param orders: stops lasting runs.
     :param placement: tells the backlog.
     """
@@ -96,10 +106,12 @@
         self,
         state: State,
         calls: MachineCalls,
+        store: StoreCalls,
         orders: Orders,
         placement: Placement,
     ):
         """Start without knowledge of machines."""
+        self.store = store
         self.state = state
         self.calls = calls
         self.orders = orders
@@ -111,6 +123,14 @@
         self.operations: dict[str, Operation] = {}
         self.waves: dict[int, WaveState] = {}
         self.report_in_flight = False
+        #: Machines that the holder before may have ordered something for.
+        self.earlier_orders: set[str] = set()
+        #: When this holder last ordered something for a machine.
+        self.order_s: dict[str, float] = {}
+        #: Machines that the stored record names, and the writes of it.
+        self.noted: set[str] = set()
+        self.record: FleetRecord | None = None
+        self.save_in_flight = False
         self.placement = placement
         self.capacity = Capacity()
 
@@ -140,12 +160,92 @@
                 duration_s=wave.duration_s,
             )
 
-    def may_order(self, now_s: float) -> bool:
-        """Return whether orders of an earlier holder are surely over."""
-        jobs = self.state.settings.jobs
-        pause_s = jobs.holder_pause_ms / 1000 + HOLDER_MARGIN_S
+    def restore(self, record: FleetRecord) -> None:
+        """Take over what the holder before has left.
+
+        Times of turns are wall-clock times; clocks of entries differ by
+        less than a turn lasts.
+        """
+        state = self.state
+        self.earlier_orders = set(record.ordered)
+        shift_s = state.clock() - state.wall()
+        self.capacity.homes = dict(record.homes)
+        self.capacity.rhythm.turns = [
+            Turn(pool, at_ms / 1000 + shift_s, machines)
+            for pool, at_ms, machines in record.turns
+        ]
+        if record.turns:
+            self.capacity.rhythm.hot = record.turns[-1][0]
+
+    def save(self, now_s: float) -> None:
+        """Store what the next coordinator has to know, if it has changed.
+
+        An order is sent only once the record names its machine.
+        """
+        if self.save_in_flight or not self.state.proven():
+            return
+        state = self.state
+        recent_s = now_s - 2 * self.pause_s
+        wanted = {
+            name for name, at_s in self.order_s.items() if at_s > recent_s
+        }
+        self.order_s = {
+            name: at_s
+            for name, at_s in self.order_s.items()
+            if at_s > recent_s
+        }
+        shift_s = state.wall() - state.clock()
+        rhythm = self.capacity.rhythm
+        record = FleetRecord(
+            tuple(sorted(wanted)),
+            tuple(sorted(self.capacity.homes.items())),
+            tuple(
+                (turn.pool, int((turn.at_s + shift_s) * 1000), turn.machines)
+                for turn in rhythm.turns
+            ),
+        )
+        if not self.has_news(record):
+            return
+        self.save_in_flight = True
+
+        def saved(done: Future) -> None:
+            self.save_in_flight = False
+            if not done.exception() and done.result().succeeded:
+                self.noted = wanted
+                self.record = record
+
+        self.store.txn(
+            [Compare(LEADER, state.term.fence)],
+            [Put(FLEET, encode_record(record))],
+        ).add_done_callback(saved)
+
+    def has_news(self, record: FleetRecord) -> bool:
+        """Return whether a record says more than the stored one."""
+        known = self.record
+        if known is None:
+            return bool(record.ordered or record.homes)
+        return (
+            not set(record.ordered) <= self.noted
+            or record.homes != known.homes
+            or [turn[0] for turn in record.turns]
+            != [turn[0] for turn in known.turns]
+        )
+
+    @property
+    def pause_s(self) -> float:
+        """Return how long two holders' orders for a machine are apart."""
+        pause_ms = self.state.settings.jobs.holder_pause_ms
+        return pause_ms / 1000 + HOLDER_MARGIN_S
+
+    def may_order(self, machine: str, now_s: float) -> bool:
+        """Return whether an order for a machine may be sent now."""
+        if not self.state.proven():
+            return False
         since_s = now_s - self.state.term.began_s
-        return self.state.proven() and since_s > pause_s
+        if machine in self.earlier_orders and since_s <= self.pause_s:
+            return False
+        self.order_s[machine] = now_s
+        return machine in self.noted
 
     def run(self, now_s: float) -> None:
         """Decide on everything that has a time."""
@@ -162,6 +262,7 @@
         for wave in self.waves.values():
             self.run_wave(wave, now_s)
         self.run_moves(now_s)
+        self.save(now_s)
 
     def read_list(self, now_s: float) -> None:
         """Read the list when it is due."""
@@ -275,7 +376,7 @@
             # The order was carried out although its answer was lost.
             self.carry_out(operation)
             return
-        if not self.may_order(now_s):
+        if not self.may_order(name, now_s):
             return
         if operation.wave and not operation.ordered:
             if self.down_count(operation.wave) >= self.limit(operation.wave):
@@ -490,7 +591,7 @@
 
     def run_moves(self, now_s: float) -> None:
         """Start moves that pay."""
-        if not self.may_order(now_s):
+        if not self.state.proven():
             return
         standby = self.standby_pool()
         turns = len(self.capacity.rhythm.turns)
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -338,6 +338,19 @@
     completed: bool
 
 
+class FleetRecord(NamedTuple):
+    """What a coordinator leaves to the next one about machines.
+
+    :ivar ordered: machines that it has ordered something for of late.
+    :ivar homes: ``(pool, machines)`` as first seen.
+    :ivar turns: ``(pool, wall-clock ms, machines)`` of the latest turns.
+    """
+
+    ordered: tuple[str, ...] = ()
+    homes: tuple[tuple[str, int], ...] = ()
+    turns: tuple[tuple[str, int, int], ...] = ()
+
+
 def task_name(job: str, occurrence: int, step: int, index: int) -> str:
     """Return the name of a task on workers."""
     return f"{job}.{occurrence}.{step}.{index}"
