Keep the machines of the pool that is next in turn

Turns are noted from half of the demand on, since queues of few large jobs were noticed two seconds late.

--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -21,8 +21,8 @@
 
 #: A pool takes its turn once its short tasks need at least this many
 #: machines, and this share of what all pools need.
-TURN_MACHINES = 0.75
-TURN_SHARE = 0.6
+TURN_MACHINES = 0.5
+TURN_SHARE = 0.5
 
 #: Pools that change the lead back and forth within this time are one turn.
 TURN_MIN_S = 2.5
@@ -180,18 +180,25 @@
             return None
         last = self.turns[-1]
         due_s = last.at_s + spacing_s
-        if not due_s - LEAD_S <= now_s <= due_s + MISSED_S:
+        pool = self.next_pool(pools)
+        if not pool or not due_s - LEAD_S <= now_s <= due_s + MISSED_S:
             return None
-        latest = {turn.pool: turn for turn in self.turns}
-        others = [pool for pool in pools if pool != last.pool]
-        if not others:
-            return None
-        pool = min(
+        known = self.latest().get(pool, last)
+        return Turn(pool, due_s, known.machines)
+
+    def latest(self) -> dict[str, Turn]:
+        """Return the latest turn of each pool."""
+        return {turn.pool: turn for turn in self.turns}
+
+    def next_pool(self, pools: Iterable[str]) -> str:
+        """Return the pool that had its turn the longest time ago."""
+        latest = self.latest()
+        others = [pool for pool in pools if pool != self.hot]
+        return min(
             others,
-            key=lambda name: latest[name].at_s if name in latest else 0.0,
+            key=lambda pool: latest[pool].at_s if pool in latest else 0.0,
+            default="",
         )
-        known = latest.get(pool, last)
-        return Turn(pool, due_s, known.machines)
 
 
 class Capacity:
@@ -207,12 +214,19 @@
         self.homes: dict[str, int] = {}
         self.unneeded_s: dict[str, float] = {}
 
-    def floor(self, pool: str) -> int:
-        """Return how many machines a pool keeps without demand.
+    def floors(self, pools: Iterable[str]) -> dict[str, int]:
+        """Return how many machines each pool keeps without demand.
 
-        While no rhythm is known, any pool may be the next to need its own.
+        The pool that is next in turn keeps its own, since the time of the
+        turn is an estimate. While no rhythm is known, all do.
         """
-        return 1 if self.rhythm.spacing_s() else self.homes.get(pool, 1)
+        pools = list(pools)
+        known = bool(self.rhythm.spacing_s())
+        coming = self.rhythm.next_pool(pools)
+        return {
+            pool: 1 if known and pool != coming else self.homes.get(pool, 1)
+            for pool in pools
+        }
 
     def moves(
         self,
@@ -232,8 +246,9 @@
             self.homes.setdefault(pool, load.machines)
         self.rhythm.note(loads, now_s)
         wanted = {pool: load.wanted for pool, load in loads.items()}
+        floors = self.floors(loads)
         needed = {
-            pool: max(load.needed, self.floor(pool))
+            pool: max(load.needed, floors[pool])
             for pool, load in loads.items()
         }
         turn = self.rhythm.expected(loads, now_s)
--- a/test/jobs/test_capacity.py
+++ b/test/jobs/test_capacity.py
@@ -86,12 +86,17 @@
     """Guards against machines that are paid for and not used."""
     capacity = Capacity()
     last_s = play_turns(capacity, 8.0, "a", "b", "c")
-    spares = [Spare(machine(f"b{n}", "b"), 0) for n in range(3)]
+    spares = [
+        Spare(machine(f"{pool}{n}", pool), 0)
+        for pool in ("b", "d")
+        for n in range(3)
+    ]
     hot = loads(c=TURN._replace(machines=14))
     capacity.moves(hot, "off", spares, last_s + 0.1)
     now_s = last_s + 0.2 + IDLE_S
     moves = capacity.moves(hot, "off", spares, now_s)
-    assert {pool for _, pool in moves} == {"off"}
+    # The pool that is next in turn keeps its own.
+    assert {(m.pool, pool) for m, pool in moves} == {("b", "off")}
 
 
 def test_a_pool_with_work_gives_no_machine_away():
