--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -19,9 +19,9 @@
 #: Share of a machine that is filled before another one is wanted.
 FILL_SHARE = 0.9
 
-#: A pool takes its turn once its short tasks need at least this many
-#: machines, and this share of what all pools need.
-TURN_MACHINES = 0.5
+#: A pool takes its turn once its short tasks need this share of the
+#: machines that it had at first, and this share of what all pools need.
+TURN_HOME_SHARE = 0.35
 TURN_SHARE = 0.5
 
 #: Pools that change the lead back and forth within this time are one turn.
@@ -123,9 +123,15 @@
         self.turns: list[Turn] = []
         self.hot = ""
 
-    def note(self, loads: dict[str, PoolLoad], now_s: float) -> bool:
+    def note(
+        self,
+        loads: dict[str, PoolLoad],
+        homes: dict[str, int],
+        now_s: float,
+    ) -> bool:
         """Note whose turn it is.
 
+        :param homes: machines that each pool had at first.
         :returns: whether a turn has begun.
         """
         total = sum(load.short for load in loads.values())
@@ -133,7 +139,8 @@
             if pool == self.hot:
                 self.raise_peak(pool, load.wanted)
             elif (
-                load.short > TURN_MACHINES * load.processors
+                load.short
+                > TURN_HOME_SHARE * homes.get(pool, 1) * load.processors
                 and load.short > TURN_SHARE * total
                 and not self.is_relapse(pool, now_s)
             ):
@@ -244,7 +251,7 @@
         """
         for pool, load in loads.items():
             self.homes.setdefault(pool, load.machines)
-        self.rhythm.note(loads, now_s)
+        self.rhythm.note(loads, self.homes, now_s)
         wanted = {pool: load.wanted for pool, load in loads.items()}
         floors = self.floors(loads)
         needed = {
--- a/test/jobs/test_capacity.py
+++ b/test/jobs/test_capacity.py
@@ -115,3 +115,16 @@
     capacity.moves(loads(c=TURN), "off", [], last_s + 0.4)
     assert [turn.pool for turn in capacity.rhythm.turns] == ["a", "b", "c"]
     assert capacity.rhythm.spacing_s() == 8.0
+
+
+def test_one_large_job_is_no_turn():
+    """Guards against a rhythm that is lost to single jobs between turns.
+
+    Pattern: turns with a large job of another pool now and then.
+    """
+    capacity = Capacity()
+    last_s = play_turns(capacity, 8.0, "a", "b")
+    one_job = PoolLoad(6, 64.0, 90.0, 0.0, 20.0)
+    capacity.moves(loads(d=one_job), "off", [], last_s + 6.0)
+    capacity.moves(loads(c=TURN), "off", [], last_s + 8.0)
+    assert [turn.pool for turn in capacity.rhythm.turns] == ["a", "b", "c"]
