--- a/cyclamenscale/jobs/capacity.py
+++ b/cyclamenscale/jobs/capacity.py
@@ -48,7 +48,7 @@
 TURNS_LIMIT = 32
 
 #: Spacings of turns that are taken for a rhythm may differ by this share.
-RHYTHM_SHARE = 0.25
+RHYTHM_SHARE = 0.4
 
 
 class PoolLoad(NamedTuple):
