--- /dev/null
+++ b/cyclamenscale/jobs/calls.py
@@ -0,0 +1,183 @@
+"""Callers' calls about jobs: accept, show, cancel and count them.
+
+All is done in the event loop's thread, but for :meth:`JobCalls.route`.
+"""
+
+import time
+from concurrent.futures import Future
+
+from cyclamenscale.errors import (
+    JobError,
+    NoJobError,
+    NoQueueError,
+    NotAcceptedNowError,
+)
+from cyclamenscale.jobs.acceptance import Stored
+from cyclamenscale.jobs.entry import JobEntry
+from cyclamenscale.jobs.keys import cancel_key, job_key
+from cyclamenscale.jobs.model import FINAL, JobRecord, JobSpec, Queue
+from cyclamenscale.util.codec import decode_record, encode_record
+
+#: Part of the caller's time that is left for the answer's way back.
+ANSWER_MARGIN_S = 0.25
+
+
+class JobCalls:
+    """Carries callers' calls out at one entry.
+
+    :param entry: the entry with its board, store and coordinator.
+    """
+
+    def __init__(self, entry: JobEntry):
+        """Keep the entry."""
+        self.entry = entry
+
+    def route(self, host: str, path: str) -> Queue:
+        """Return the queue of a call.
+
+        :raises NotAcceptedNowError: if no manifest is known yet.
+        :raises NoQueueError: if there is none.
+        """
+        if not self.entry.manifest:
+            raise NotAcceptedNowError("no_manifest", 1.0)
+        queue = self.entry.manifest.route(host, path)
+        if not queue:
+            raise NoQueueError(f"no queue at {host}{path}")
+        return queue
+
+    def submit(
+        self, queue: Queue, job: str, spec: JobSpec, wait_s: float
+    ) -> Future:
+        """Accept a job; the outcome comes once it is stored.
+
+        :param wait_s: how long the caller waits.
+        :returns: None, or a :class:`JobError`.
+        """
+        outcome: Future = Future()
+        posting = self.entry.board.postings.get(job)
+        if posting and posting.record:
+            outcome.set_result(None)
+            return outcome
+        now_s = self.entry.loop.clock()
+        record = JobRecord(
+            job,
+            queue,
+            self.entry.manifest.version,
+            int(time.time() * 1000),
+            spec,
+        )
+        value = encode_record(record)
+        end_s = now_s + max(wait_s - ANSWER_MARGIN_S, 0.05)
+
+        def stored(done: Future) -> None:
+            error = done.exception()
+            self.entry.events.note(
+                "job.submit",
+                job=job,
+                queue=queue.name,
+                pool=queue.pool,
+                version=self.entry.manifest.version,
+                tasks=sum(step.count for step in spec.steps),
+                took_s=round(self.entry.loop.clock() - now_s, 4),
+                outcome=str(error) if error else "stored",
+            )
+            self.count_answer("submit", error)
+            took_ms = (self.entry.loop.clock() - now_s) * 1000
+            self.entry.metrics.timing("jobs.accept_ms", took_ms)
+            if error:
+                outcome.set_exception(error)
+                return
+            self.note_stored(job, record, done.result())
+            outcome.set_result(None)
+
+        created = self.entry.acceptance.create(job_key(job), value, end_s)
+        created.add_done_callback(stored)
+        return outcome
+
+    def count_answer(self, what: str, error: BaseException | None) -> None:
+        """Count the answer to a caller."""
+        code = error.code if isinstance(error, JobError) else "ok"
+        self.entry.metrics.incr(f"jobs.{what}.{code}")
+
+    def note_stored(self, job: str, record: JobRecord, stored: Stored) -> None:
+        """Put an accepted job on the board at once."""
+        posting = self.entry.board.posting(job)
+        if posting.record is None:
+            if not stored.revision:
+                record = decode_record(stored.value, JobRecord, job_key(job))
+            posting.record = record
+            posting.revision = stored.revision
+        if self.entry.coordinator and stored.revision:
+            self.entry.coordinator.add_job(record, stored.revision)
+            self.entry.plan_turn()
+
+    def state_of(self, queue: Queue, job: str) -> Future:
+        """Return the state of a job; a :class:`NoJobError` if none is."""
+        outcome: Future = Future()
+        posting = self.entry.board.postings.get(job)
+        if posting and posting.record:
+            self.settle_state(queue, job, outcome)
+            return outcome
+
+        def read(done: Future) -> None:
+            if done.exception():
+                error = NotAcceptedNowError("store_unavailable", 0.5)
+                outcome.set_exception(error)
+                return
+            if done.result():
+                self.entry.board.apply(done.result(), self.entry.loop.clock())
+            self.settle_state(queue, job, outcome)
+
+        # This entry's watch may be behind.
+        self.entry.ports.store.read(job_key(job)).add_done_callback(read)
+        return outcome
+
+    def settle_state(self, queue: Queue, job: str, outcome: Future) -> None:
+        """Answer with the state on the board."""
+        posting = self.entry.board.postings.get(job)
+        if not posting or not posting.record:
+            outcome.set_exception(NoJobError(f"no job {job}"))
+        elif posting.record.queue.name != queue.name:
+            outcome.set_exception(NoJobError(f"no job {job} in this queue"))
+        else:
+            outcome.set_result(posting.state)
+
+    def cancel(self, queue: Queue, job: str, wait_s: float) -> Future:
+        """Cancel a job; the outcome comes once that is stored."""
+        outcome: Future = Future()
+        end_s = self.entry.loop.clock() + max(wait_s - ANSWER_MARGIN_S, 0.05)
+
+        def known(done: Future) -> None:
+            if done.exception():
+                outcome.set_exception(done.exception())
+            elif done.result() in FINAL:
+                outcome.set_result(None)
+            else:
+                created = self.entry.acceptance.create(
+                    cancel_key(job), b"1", end_s
+                )
+                created.add_done_callback(stored)
+
+        def stored(done: Future) -> None:
+            error = done.exception()
+            self.entry.events.note(
+                "job.cancel_asked",
+                job=job,
+                outcome=str(error) if error else "stored",
+            )
+            self.count_answer("cancel", error)
+            if error:
+                outcome.set_exception(error)
+                return
+            self.entry.board.posting(job).cancelled = True
+            if self.entry.coordinator:
+                self.entry.coordinator.cancel_job(job)
+                self.entry.plan_turn()
+            outcome.set_result(None)
+
+        self.state_of(queue, job).add_done_callback(known)
+        return outcome
+
+    def pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue wait for their first start."""
+        return self.entry.board.pending(queue.name)
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -12,25 +12,18 @@
 
 from cyclamenscale.errors import (
     FieldError,
-    JobError,
-    NoJobError,
-    NoQueueError,
-    NotAcceptedNowError,
 )
-from cyclamenscale.jobs.acceptance import Acceptance, Stored
+from cyclamenscale.jobs.acceptance import Acceptance
 from cyclamenscale.jobs.board import Board
 from cyclamenscale.jobs.coordinator import TICK_S, Coordinator, Ports
 from cyclamenscale.jobs.election import Election
 from cyclamenscale.jobs.feeds import Feed
-from cyclamenscale.jobs.keys import PREFIX, cancel_key, job_key
+from cyclamenscale.jobs.keys import PREFIX, job_key
 from cyclamenscale.jobs.ledger import REMOVED_PER_TXN
 from cyclamenscale.jobs.model import (
     FINAL,
-    JobRecord,
-    JobSpec,
     Manifest,
     ProgressRecord,
-    Queue,
     Wave,
     WorkerEntry,
 )
@@ -38,7 +31,6 @@
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import KeyValue
-from cyclamenscale.util.codec import decode_record, encode_record
 from cyclamenscale.util.events import EventLog
 from cyclamenscale.util.loop import Loop
 
@@ -51,9 +43,6 @@
 #: Without an answer of the store for this long an entry is not ready.
 STORE_SILENCE_S = 2.5
 
-#: Part of the caller's time that is left for the answer's way back.
-ANSWER_MARGIN_S = 0.25
-
 #: Time between removals of ended jobs.
 REMOVE_S = 2.0
 
@@ -246,7 +235,7 @@
             return
         self.waves[wave.number] = wave
         if self.coordinator:
-            self.coordinator.machines.set_wave(wave)
+            self.coordinator.machines.waves.set_wave(wave)
 
     # Terms.
 
@@ -284,10 +273,10 @@
         )
         self.coordinator = coordinator
         restore(coordinator, self.board)
-        coordinator.machines.restore(self.board.fleet)
+        coordinator.machines.handover.restore(self.board.fleet)
         for wave in self.waves.values():
             record = self.board.waves.get(wave.number)
-            coordinator.machines.set_wave(wave, record)
+            coordinator.machines.waves.set_wave(wave, record)
         self.worker_feed = Feed(
             self.loop,
             self.ports.store,
@@ -379,8 +368,6 @@
                 lambda done: done.exception()
             )
 
-    # Callers.
-
     def is_ready(self) -> bool:
         """Return whether new callers should be sent here."""
         answered_s = max(
@@ -391,150 +378,6 @@
             self.manifest and self.board.filled and not self.draining and fresh
         )
 
-    def route(self, host: str, path: str) -> Queue:
-        """Return the queue of a call.
-
-        :raises NotAcceptedNowError: if no manifest is known yet.
-        :raises NoQueueError: if there is none.
-        """
-        if not self.manifest:
-            raise NotAcceptedNowError("no_manifest", 1.0)
-        queue = self.manifest.route(host, path)
-        if not queue:
-            raise NoQueueError(f"no queue at {host}{path}")
-        return queue
-
-    def submit(
-        self, queue: Queue, job: str, spec: JobSpec, wait_s: float
-    ) -> Future:
-        """Accept a job; the outcome comes once it is stored.
-
-        :param wait_s: how long the caller waits.
-        :returns: None, or a :class:`JobError`.
-        """
-        outcome: Future = Future()
-        posting = self.board.postings.get(job)
-        if posting and posting.record:
-            outcome.set_result(None)
-            return outcome
-        now_s = self.loop.clock()
-        record = JobRecord(
-            job, queue, self.manifest.version, int(time.time() * 1000), spec
-        )
-        value = encode_record(record)
-        end_s = now_s + max(wait_s - ANSWER_MARGIN_S, 0.05)
-
-        def stored(done: Future) -> None:
-            error = done.exception()
-            self.events.note(
-                "job.submit",
-                job=job,
-                queue=queue.name,
-                pool=queue.pool,
-                version=self.manifest.version,
-                tasks=sum(step.count for step in spec.steps),
-                took_s=round(self.loop.clock() - now_s, 4),
-                outcome=str(error) if error else "stored",
-            )
-            self.count_answer("submit", error)
-            took_ms = (self.loop.clock() - now_s) * 1000
-            self.metrics.timing("jobs.accept_ms", took_ms)
-            if error:
-                outcome.set_exception(error)
-                return
-            self.note_stored(job, record, done.result())
-            outcome.set_result(None)
-
-        created = self.acceptance.create(job_key(job), value, end_s)
-        created.add_done_callback(stored)
-        return outcome
-
-    def count_answer(self, what: str, error: BaseException | None) -> None:
-        """Count the answer to a caller."""
-        code = error.code if isinstance(error, JobError) else "ok"
-        self.metrics.incr(f"jobs.{what}.{code}")
-
-    def note_stored(self, job: str, record: JobRecord, stored: Stored) -> None:
-        """Put an accepted job on the board at once."""
-        posting = self.board.posting(job)
-        if posting.record is None:
-            if not stored.revision:
-                record = decode_record(stored.value, JobRecord, job_key(job))
-            posting.record = record
-            posting.revision = stored.revision
-        if self.coordinator and stored.revision:
-            self.coordinator.add_job(record, stored.revision)
-            self.plan_turn()
-
-    def state_of(self, queue: Queue, job: str) -> Future:
-        """Return the state of a job; a :class:`NoJobError` if none is."""
-        outcome: Future = Future()
-        posting = self.board.postings.get(job)
-        if posting and posting.record:
-            self.settle_state(queue, job, outcome)
-            return outcome
-
-        def read(done: Future) -> None:
-            if done.exception():
-                error = NotAcceptedNowError("store_unavailable", 0.5)
-                outcome.set_exception(error)
-                return
-            if done.result():
-                self.board.apply(done.result(), self.loop.clock())
-            self.settle_state(queue, job, outcome)
-
-        # This entry's watch may be behind.
-        self.ports.store.read(job_key(job)).add_done_callback(read)
-        return outcome
-
-    def settle_state(self, queue: Queue, job: str, outcome: Future) -> None:
-        """Answer with the state on the board."""
-        posting = self.board.postings.get(job)
-        if not posting or not posting.record:
-            outcome.set_exception(NoJobError(f"no job {job}"))
-        elif posting.record.queue.name != queue.name:
-            outcome.set_exception(NoJobError(f"no job {job} in this queue"))
-        else:
-            outcome.set_result(posting.state)
-
-    def cancel(self, queue: Queue, job: str, wait_s: float) -> Future:
-        """Cancel a job; the outcome comes once that is stored."""
-        outcome: Future = Future()
-        end_s = self.loop.clock() + max(wait_s - ANSWER_MARGIN_S, 0.05)
-
-        def known(done: Future) -> None:
-            if done.exception():
-                outcome.set_exception(done.exception())
-            elif done.result() in FINAL:
-                outcome.set_result(None)
-            else:
-                created = self.acceptance.create(cancel_key(job), b"1", end_s)
-                created.add_done_callback(stored)
-
-        def stored(done: Future) -> None:
-            error = done.exception()
-            self.events.note(
-                "job.cancel_asked",
-                job=job,
-                outcome=str(error) if error else "stored",
-            )
-            self.count_answer("cancel", error)
-            if error:
-                outcome.set_exception(error)
-                return
-            self.board.posting(job).cancelled = True
-            if self.coordinator:
-                self.coordinator.cancel_job(job)
-                self.plan_turn()
-            outcome.set_result(None)
-
-        self.state_of(queue, job).add_done_callback(known)
-        return outcome
-
-    def pending(self, queue: Queue) -> int:
-        """Return how many jobs of a queue wait for their first start."""
-        return self.board.pending(queue.name)
-
     def drain(self) -> None:
         """Send callers elsewhere and hand the term over."""
         self.draining = True
--- /dev/null
+++ b/cyclamenscale/jobs/handover.py
@@ -0,0 +1,129 @@
+"""What a coordinator leaves to the next one about machines.
+
+Orders for one machine must not come from two holders in turn within the
+platform's bound, so the record names a machine before an order for it goes
+out. It also keeps what was learned of the pools.
+"""
+
+from concurrent.futures import Future
+
+from cyclamenscale.jobs.capacity import Capacity, Turn
+from cyclamenscale.jobs.keys import FLEET, LEADER
+from cyclamenscale.jobs.model import FleetRecord
+from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.jobs.state import State
+from cyclamenscale.store.port import Compare, Put
+from cyclamenscale.util.codec import encode_record
+
+#: Added to the time for which another holder's orders exclude ours.
+HOLDER_MARGIN_S = 0.3
+
+
+class Handover:
+    """Stores the record, and tells which machines may be ordered about.
+
+    :param state: shared knowledge.
+    :param store: keeps the record.
+    :param capacity: what was learned of the pools.
+    """
+
+    def __init__(self, state: State, store: StoreCalls, capacity: Capacity):
+        """Start without a record."""
+        self.state = state
+        self.store = store
+        self.capacity = capacity
+        #: Machines that the holder before may have ordered something for.
+        self.earlier_orders: set[str] = set()
+        #: When this holder last ordered something for a machine.
+        self.order_s: dict[str, float] = {}
+        #: Machines that the stored record names, and that record.
+        self.noted: set[str] = set()
+        self.record: FleetRecord | None = None
+        self.save_in_flight = False
+
+    def restore(self, record: FleetRecord) -> None:
+        """Take over what the holder before has left.
+
+        Times of turns are wall-clock times; clocks of entries differ by
+        less than a turn lasts.
+        """
+        state = self.state
+        self.earlier_orders = set(record.ordered)
+        shift_s = state.clock() - state.wall()
+        self.capacity.homes = dict(record.homes)
+        self.capacity.rhythm.turns = [
+            Turn(pool, at_ms / 1000 + shift_s, machines)
+            for pool, at_ms, machines in record.turns
+        ]
+        if record.turns:
+            self.capacity.rhythm.hot = record.turns[-1][0]
+
+    def save(self, now_s: float) -> None:
+        """Store what the next coordinator has to know, if it has changed.
+
+        An order is sent only once the record names its machine.
+        """
+        if self.save_in_flight or not self.state.proven():
+            return
+        state = self.state
+        recent_s = now_s - 2 * self.pause_s
+        wanted = {
+            name for name, at_s in self.order_s.items() if at_s > recent_s
+        }
+        self.order_s = {
+            name: at_s
+            for name, at_s in self.order_s.items()
+            if at_s > recent_s
+        }
+        shift_s = state.wall() - state.clock()
+        rhythm = self.capacity.rhythm
+        record = FleetRecord(
+            tuple(sorted(wanted)),
+            tuple(sorted(self.capacity.homes.items())),
+            tuple(
+                (turn.pool, int((turn.at_s + shift_s) * 1000), turn.machines)
+                for turn in rhythm.turns
+            ),
+        )
+        if not self.has_news(record):
+            return
+        self.save_in_flight = True
+
+        def saved(done: Future) -> None:
+            self.save_in_flight = False
+            if not done.exception() and done.result().succeeded:
+                self.noted = wanted
+                self.record = record
+
+        self.store.txn(
+            [Compare(LEADER, state.term.fence)],
+            [Put(FLEET, encode_record(record))],
+        ).add_done_callback(saved)
+
+    def has_news(self, record: FleetRecord) -> bool:
+        """Return whether a record says more than the stored one."""
+        known = self.record
+        if known is None:
+            return bool(record.ordered or record.homes)
+        return (
+            not set(record.ordered) <= self.noted
+            or record.homes != known.homes
+            or [turn[0] for turn in record.turns]
+            != [turn[0] for turn in known.turns]
+        )
+
+    @property
+    def pause_s(self) -> float:
+        """Return how long two holders' orders for a machine are apart."""
+        pause_ms = self.state.settings.jobs.holder_pause_ms
+        return pause_ms / 1000 + HOLDER_MARGIN_S
+
+    def may_order(self, machine: str, now_s: float) -> bool:
+        """Return whether an order for a machine may be sent now."""
+        if not self.state.proven():
+            return False
+        since_s = now_s - self.state.term.began_s
+        if machine in self.earlier_orders and since_s <= self.pause_s:
+            return False
+        self.order_s[machine] = now_s
+        return machine in self.noted
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -1,4 +1,4 @@
-"""Upkeep of machines and their moves between pools.
+"""Operations on machines: upkeep, and moves between pools.
 
 A machine is emptied first: nothing new starts on it, short tasks end, and
 lasting tasks are interrupted only as far as their steps allow. Orders that
@@ -7,24 +7,21 @@
 
 from collections import Counter
 from concurrent.futures import Future
-from typing import NamedTuple
 
 from cyclamenscale.jobs.capacity import (
     STAY_S,
     Capacity,
     PoolLoad,
     Spare,
-    Turn,
 )
-from cyclamenscale.jobs.keys import FLEET, LEADER
-from cyclamenscale.jobs.model import FleetRecord, Machine, Wave, WaveRecord
+from cyclamenscale.jobs.handover import Handover
+from cyclamenscale.jobs.model import Machine
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.waves import Waves
 from cyclamenscale.jobs.worker import RUNNING, STOPPING, Worker
-from cyclamenscale.store.port import Compare, Put
-from cyclamenscale.util.codec import encode_record
 
 #: Time between reads of the list of machines.
 LIST_S = 1.0
@@ -33,14 +30,6 @@
 #: Pause before an order that was refused or not answered is repeated.
 RETRY_S = 0.3
 
-#: Added to the time for which another holder's orders exclude ours.
-HOLDER_MARGIN_S = 0.3
-
-#: Time of one upkeep with emptying, and what is kept in hand of a wave's
-#: time, before machines of hot pools are taken too.
-ROUND_S = 4.5
-SLACK_S = 3.0
-
 #: Time for the worker of a machine that has just come up to register.
 REGISTER_S = 4.0
 
@@ -75,23 +64,6 @@
         return f"upkeep {self.wave}" if self.wave else f"move to {self.pool}"
 
 
-class WaveState(NamedTuple):
-    """Progress of a wave.
-
-    :ivar wave: the wave.
-    :ivar begun_ms: wall-clock time at which it was first seen.
-    :ivar end_s: when all should be done.
-    :ivar done: machines that have begun their upkeep.
-    :ivar reported: what was reported: states, and states with counts.
-    """
-
-    wave: Wave
-    begun_ms: int
-    end_s: float
-    done: set[str]
-    reported: set[str]
-
-
 class Machines:
     """Carries out upkeep and moves.
 
@@ -111,7 +83,6 @@
         placement: Placement,
     ):
         """Start without knowledge of machines."""
-        self.store = store
         self.state = state
         self.calls = calls
         self.orders = orders
@@ -121,131 +92,10 @@
         self.list_in_flight = False
         self.list_due_s = 0.0
         self.operations: dict[str, Operation] = {}
-        self.waves: dict[int, WaveState] = {}
-        self.report_in_flight = False
-        #: Machines that the holder before may have ordered something for.
-        self.earlier_orders: set[str] = set()
-        #: When this holder last ordered something for a machine.
-        self.order_s: dict[str, float] = {}
-        #: Machines that the stored record names, and the writes of it.
-        self.noted: set[str] = set()
-        self.record: FleetRecord | None = None
-        self.save_in_flight = False
         self.placement = placement
         self.capacity = Capacity()
-
-    def set_wave(self, wave: Wave, record: WaveRecord | None = None) -> None:
-        """Take a requested wave on.
-
-        :param record: what an earlier coordinator has stored of it.
-        """
-        if wave.number not in self.waves:
-            now_ms = int(self.state.wall() * 1000)
-            if record is None:
-                record = WaveRecord(now_ms, (), False)
-            age_s = max(now_ms - record.begun_ms, 0) / 1000
-            reported = {"active", "completed"} if record.completed else set()
-            self.waves[wave.number] = WaveState(
-                wave,
-                record.begun_ms,
-                self.state.clock() + wave.duration_s - age_s,
-                set(record.done),
-                reported,
-            )
-            self.state.events.note(
-                "wave.requested",
-                wave=wave.number,
-                machines=len(wave.machines),
-                limit=wave.limit,
-                duration_s=wave.duration_s,
-            )
-
-    def restore(self, record: FleetRecord) -> None:
-        """Take over what the holder before has left.
-
-        Times of turns are wall-clock times; clocks of entries differ by
-        less than a turn lasts.
-        """
-        state = self.state
-        self.earlier_orders = set(record.ordered)
-        shift_s = state.clock() - state.wall()
-        self.capacity.homes = dict(record.homes)
-        self.capacity.rhythm.turns = [
-            Turn(pool, at_ms / 1000 + shift_s, machines)
-            for pool, at_ms, machines in record.turns
-        ]
-        if record.turns:
-            self.capacity.rhythm.hot = record.turns[-1][0]
-
-    def save(self, now_s: float) -> None:
-        """Store what the next coordinator has to know, if it has changed.
-
-        An order is sent only once the record names its machine.
-        """
-        if self.save_in_flight or not self.state.proven():
-            return
-        state = self.state
-        recent_s = now_s - 2 * self.pause_s
-        wanted = {
-            name for name, at_s in self.order_s.items() if at_s > recent_s
-        }
-        self.order_s = {
-            name: at_s
-            for name, at_s in self.order_s.items()
-            if at_s > recent_s
-        }
-        shift_s = state.wall() - state.clock()
-        rhythm = self.capacity.rhythm
-        record = FleetRecord(
-            tuple(sorted(wanted)),
-            tuple(sorted(self.capacity.homes.items())),
-            tuple(
-                (turn.pool, int((turn.at_s + shift_s) * 1000), turn.machines)
-                for turn in rhythm.turns
-            ),
-        )
-        if not self.has_news(record):
-            return
-        self.save_in_flight = True
-
-        def saved(done: Future) -> None:
-            self.save_in_flight = False
-            if not done.exception() and done.result().succeeded:
-                self.noted = wanted
-                self.record = record
-
-        self.store.txn(
-            [Compare(LEADER, state.term.fence)],
-            [Put(FLEET, encode_record(record))],
-        ).add_done_callback(saved)
-
-    def has_news(self, record: FleetRecord) -> bool:
-        """Return whether a record says more than the stored one."""
-        known = self.record
-        if known is None:
-            return bool(record.ordered or record.homes)
-        return (
-            not set(record.ordered) <= self.noted
-            or record.homes != known.homes
-            or [turn[0] for turn in record.turns]
-            != [turn[0] for turn in known.turns]
-        )
-
-    @property
-    def pause_s(self) -> float:
-        """Return how long two holders' orders for a machine are apart."""
-        pause_ms = self.state.settings.jobs.holder_pause_ms
-        return pause_ms / 1000 + HOLDER_MARGIN_S
-
-    def may_order(self, machine: str, now_s: float) -> bool:
-        """Return whether an order for a machine may be sent now."""
-        if not self.state.proven():
-            return False
-        since_s = now_s - self.state.term.began_s
-        if machine in self.earlier_orders and since_s <= self.pause_s:
-            return False
-        self.order_s[machine] = now_s
-        return machine in self.noted
+        self.handover = Handover(state, store, self.capacity)
+        self.waves = Waves(state, calls, self)
 
     def run(self, now_s: float) -> None:
         """Decide on everything that has a time."""
@@ -259,10 +109,9 @@
             return
         for operation in list(self.operations.values()):
             self.advance(operation, now_s)
-        for wave in self.waves.values():
-            self.run_wave(wave, now_s)
+        self.waves.run(now_s)
         self.run_moves(now_s)
-        self.save(now_s)
+        self.handover.save(now_s)
 
     def read_list(self, now_s: float) -> None:
         """Read the list when it is due."""
@@ -295,54 +144,9 @@
             worker = self.state.workers.get(machine.worker)
         return worker
 
-    def run_wave(self, progress: WaveState, now_s: float) -> None:
-        """Start upkeep of a wave's machines as far as its limit allows."""
-        wave = progress.wave
-        if "completed" in progress.reported:
-            return
-        self.report(progress, "active")
-        down = 0
-        ready = []
-        left = 0
-        for name in wave.machines:
-            machine = self.machines.get(name)
-            if not machine:
-                continue
-            operation = self.operations.get(name)
-            if machine.state == "upkeep" or (
-                operation and operation.wave == wave.number
-            ):
-                down += 1
-            if name in progress.done:
-                continue
-            left += 1
-            if machine.up and not operation:
-                ready.append(machine)
-        ready.sort(key=self.load_of)
-        if self.has_time(progress, left, now_s):
-            hot = self.capacity.rhythm.hot
-            ready = [machine for machine in ready if machine.pool != hot]
-        # One more than may be down is emptied ahead.
-        for machine in ready[: max(wave.limit + 1 - down, 0)]:
-            self.begin(Operation(machine, now_s, wave=wave.number))
-        if not left and not down and self.listed_s > 0:
-            self.report(progress, "completed")
-
-    def has_time(self, progress: WaveState, left: int, now_s: float) -> bool:
-        """Return whether upkeep of machines in hot pools can wait."""
-        rounds = -(-left // progress.wave.limit)
-        return progress.end_s - now_s > rounds * ROUND_S + SLACK_S
-
-    def load_of(self, machine: Machine) -> tuple:
-        """Return how much runs on a machine, lasting tasks first."""
-        worker = self.worker_of(machine)
-        if not worker:
-            return (0, 0.0)
-        lasting = sum(
-            run.task is not None and run.task.step.spec.lasting
-            for run in worker.runs.values()
-        )
-        return (lasting, worker.used.processors)
+    def begin_upkeep(self, machine: Machine, wave: int, now_s: float) -> None:
+        """Start emptying a machine for its upkeep."""
+        self.begin(Operation(machine, now_s, wave=wave))
 
     def begin(self, operation: Operation) -> None:
         """Start emptying a machine."""
@@ -376,10 +180,10 @@
             # The order was carried out although its answer was lost.
             self.carry_out(operation)
             return
-        if not self.may_order(name, now_s):
+        if not self.handover.may_order(name, now_s):
             return
         if operation.wave and not operation.ordered:
-            if self.down_count(operation.wave) >= self.limit(operation.wave):
+            if not self.waves.may_begin(operation.wave):
                 return
         worker = self.worker_of(operation.machine)
         if operation.ordered:
@@ -401,23 +205,6 @@
         ):
             self.give_up(operation, "it did not become empty")
 
-    def limit(self, wave: int) -> int:
-        """Return how many machines of a wave may be down at once."""
-        return self.waves[wave].wave.limit if wave in self.waves else 0
-
-    def down_count(self, wave: int) -> int:
-        """Return how many machines of a wave are, or may be, down."""
-        progress = self.waves.get(wave)
-        names = progress.wave.machines if progress else ()
-        count = 0
-        for name in names:
-            operation = self.operations.get(name)
-            machine = self.machines.get(name)
-            ordered = operation and operation.ordered and operation.wave
-            if ordered or (machine and machine.state == "upkeep"):
-                count += 1
-        return count
-
     def is_empty(
         self, operation: Operation, worker: Worker, now_s: float
     ) -> bool:
@@ -512,7 +299,7 @@
             return
         if reason:
             if reason == "wave":
-                self.waves[operation.wave].done.add(name)
+                self.waves.note_done(operation.wave, name)
             self.give_up(operation, reason)
             return
         self.carry_out(operation)
@@ -527,9 +314,8 @@
         operation.done_s = self.state.clock()
         self.list_due_s = operation.done_s
         self.state.metrics.incr("jobs.machine_orders")
-        if operation.wave and operation.wave in self.waves:
-            done = self.waves[operation.wave].done
-            done.add(operation.machine.name)
+        if operation.wave:
+            self.waves.note_done(operation.wave, operation.machine.name)
 
     def settle(self, operation: Operation, machine: Machine | None) -> None:
         """Follow a listing that is newer than the platform's answer."""
@@ -559,36 +345,6 @@
             why=why,
         )
 
-    def report(self, progress: WaveState, status: str) -> None:
-        """Tell the platform of a wave's progress."""
-        news = f"{status} {len(progress.done)}"
-        if news in progress.reported or self.report_in_flight:
-            return
-        if not self.state.proven():
-            return
-        self.report_in_flight = True
-
-        def answered(done: Future) -> None:
-            self.report_in_flight = False
-            if not done.exception():
-                progress.reported.update((status, news))
-                self.state.events.note(
-                    "wave.reported",
-                    wave=progress.wave.number,
-                    state=status,
-                    left_s=round(progress.end_s - self.state.clock(), 1),
-                )
-
-        record = WaveRecord(
-            progress.begun_ms,
-            tuple(sorted(progress.done)),
-            status == "completed",
-        )
-        answer = self.calls.report_wave(
-            progress.wave.number, record, self.state.term.fence
-        )
-        answer.add_done_callback(answered)
-
     def run_moves(self, now_s: float) -> None:
         """Start moves that pay."""
         if not self.state.proven():
@@ -650,12 +406,7 @@
 
     def spares(self, now_s: float) -> list[Spare]:
         """Return the machines that may be moved now."""
-        due = {
-            name
-            for progress in self.waves.values()
-            for name in progress.wave.machines
-            if name not in progress.done
-        }
+        due = self.waves.due()
         found = []
         standby = self.standby_pool()
         for machine in self.machines.values():
--- a/cyclamenscale/platform/front.py
+++ b/cyclamenscale/platform/front.py
@@ -9,7 +9,7 @@
 from werkzeug.wrappers import Request, Response
 
 from cyclamenscale.errors import BadJobError, JobError, UnknownOutcomeError
-from cyclamenscale.jobs.entry import JobEntry
+from cyclamenscale.jobs.calls import JobCalls
 from cyclamenscale.jobs.model import Queue
 from cyclamenscale.platform import decode
 from cyclamenscale.platform.names import DEADLINE_HEADER, STATE_WORDS
@@ -45,13 +45,13 @@
 class JobFront:
     """Translates callers' calls and waits for their outcome.
 
-    :param entry: does the work, in its loop's thread.
+    :param calls: does the work, in the loop's thread.
     :param loop: that loop.
     """
 
-    def __init__(self, entry: JobEntry, loop: Loop):
-        """Keep the entry."""
-        self.entry = entry
+    def __init__(self, calls: JobCalls, loop: Loop):
+        """Keep both."""
+        self.calls = calls
         self.loop = loop
 
     def __call__(self, environ: dict, start_response: Callable):
@@ -70,14 +70,14 @@
         """
         # A manifest is replaced whole, so this thread may read it.
         host = request.host.rpartition(":")[0] or request.host
-        queue = self.entry.route(host, request.path)
+        queue = self.calls.route(host, request.path)
         job = request.path.removeprefix(queue.prefix)
         wait_s = caller_wait_s(request)
-        if self.entry.draining:
+        if self.calls.entry.draining:
             # The answer must be out before the entry has to leave.
             wait_s = min(wait_s, DRAIN_WAIT_S)
         if not job and request.method == "GET":
-            count = self.call(lambda: self.entry.pending(queue), wait_s)
+            count = self.call(lambda: self.calls.pending(queue), wait_s)
             return answer(200, {"pending": count})
         if not JOB_ID.fullmatch(job):
             raise BadJobError("id", job, "16 hexadecimal digits")
@@ -87,16 +87,16 @@
         self, request: Request, queue: Queue, job: str, wait_s: float
     ) -> Response:
         """Answer a call about one job."""
-        entry = self.entry
+        calls = self.calls
         if request.method == "POST":
             spec = decode.job_spec(request.get_data())
-            self.call(lambda: entry.submit(queue, job, spec, wait_s), wait_s)
+            self.call(lambda: calls.submit(queue, job, spec, wait_s), wait_s)
             return answer(200, {})
         if request.method == "GET":
-            state = self.call(lambda: entry.state_of(queue, job), wait_s)
+            state = self.call(lambda: calls.state_of(queue, job), wait_s)
             return answer(200, {"state": STATE_WORDS[state]})
         if request.method == "DELETE":
-            self.call(lambda: entry.cancel(queue, job, wait_s), wait_s)
+            self.call(lambda: calls.cancel(queue, job, wait_s), wait_s)
             return answer(200, {})
         raise BadJobError("method", request.method, "POST, GET or DELETE")
 
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from werkzeug.wrappers import Response
 
+from cyclamenscale.jobs.calls import JobCalls
 from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.entry import Decoders, JobEntry
 from cyclamenscale.metrics import Metrics
@@ -85,7 +86,7 @@
         self.terminated = Event()
         self.front = self.server(
             settings.entry.callers_address,
-            JobFront(self.entry, self.loop),
+            JobFront(JobCalls(self.entry), self.loop),
             "callers",
             CALLER_THREADS,
         )
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -15,7 +15,7 @@
 def wave_of(world, *machines, limit=2, duration_s=20.0):
     """Request upkeep of machines."""
     wave = Wave(1, machines, duration_s, limit)
-    world.coordinator.machines.set_wave(wave)
+    world.coordinator.machines.waves.set_wave(wave)
     return wave
 
 
@@ -59,7 +59,7 @@
     """Guards against holders that take turns within the platform's bound."""
     world = World()
     world.lead()
-    world.coordinator.machines.restore(FleetRecord(("m-pool-a-0",)))
+    world.coordinator.machines.handover.restore(FleetRecord(("m-pool-a-0",)))
     wave_of(world, "m-pool-a-0", "m-pool-a-1", limit=2)
     world.run(3.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-1", 1)]
@@ -80,9 +80,9 @@
     record = decode_record(item.value, FleetRecord, FLEET)
     assert record.ordered == ("m-pool-a-0",)
     world.lead("e2")
-    world.coordinator.machines.restore(record)
+    world.coordinator.machines.handover.restore(record)
     after = world.coordinator.machines
-    assert after.earlier_orders == {"m-pool-a-0"}
+    assert after.handover.earlier_orders == {"m-pool-a-0"}
     assert after.capacity.homes == {"pool-a": 4}
     assert after.capacity.rhythm.turns == [Turn("pool-a", 90.0, 7)]
 
@@ -96,7 +96,7 @@
     wave_of(world, "m-pool-a-0", limit=1)
     world.run(2.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-0", 1)]
-    state = world.coordinator.machines.waves[1]
+    state = world.coordinator.machines.waves.waves[1]
     assert state.done == {"m-pool-a-0"}
 
 
@@ -143,7 +143,7 @@
     world.lead()
     wave = Wave(1, ("m-pool-a-0", "m-pool-a-1"), 20.0, 1)
     record = WaveRecord(int(world.clock() * 1000), ("m-pool-a-0",), False)
-    world.coordinator.machines.set_wave(wave, record)
+    world.coordinator.machines.waves.set_wave(wave, record)
     world.run(5.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-1", 1)]
 
