Take an unanswered order for done only if the machine's state says so

Only the state that the order brings about counts now, and the platform's words for states are decoded in its adapter. Test: test_a_machine_that_crashes_after_an_unanswered_order_is_not_done (failed before).

--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -15,7 +15,11 @@
     Spare,
 )
 from cyclamenscale.jobs.handover import Handover
-from cyclamenscale.jobs.model import Machine
+from cyclamenscale.jobs.model import (
+    MACHINE_MOVING,
+    MACHINE_UPKEEP,
+    Machine,
+)
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
@@ -176,7 +180,8 @@
             return
         if operation.in_flight or now_s < operation.retry_s:
             return
-        if operation.ordered and not machine.up:
+        under_way = MACHINE_UPKEEP if operation.wave else MACHINE_MOVING
+        if operation.ordered and machine.state == under_way:
             # The order was carried out although its answer was lost.
             self.carry_out(operation)
             return
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -291,13 +291,20 @@
     ends: tuple[EndReport, ...]
 
 
+#: States of a machine.
+MACHINE_UP = "up"
+MACHINE_MOVING = "moving"
+MACHINE_UPKEEP = "upkeep"
+MACHINE_DOWN = "down"
+
+
 class Machine(NamedTuple):
     """A machine as the platform lists it.
 
     :ivar name: unique name.
     :ivar pool: pool it belongs to.
-    :ivar up: whether it is up, not moving or in upkeep.
-    :ivar state: the platform's word for its state, for logs.
+    :ivar up: whether its state is ``MACHINE_UP``.
+    :ivar state: one of the states of a machine.
     :ivar worker: id of its worker, or empty.
     :ivar rack: failure domain.
     """
--- a/cyclamenscale/jobs/waves.py
+++ b/cyclamenscale/jobs/waves.py
@@ -5,7 +5,12 @@
 from typing import Any, NamedTuple, Protocol
 
 from cyclamenscale.jobs.capacity import Capacity
-from cyclamenscale.jobs.model import Machine, Wave, WaveRecord
+from cyclamenscale.jobs.model import (
+    MACHINE_UPKEEP,
+    Machine,
+    Wave,
+    WaveRecord,
+)
 from cyclamenscale.jobs.ports import MachineCalls
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.worker import Worker
@@ -127,7 +132,7 @@
             if not machine:
                 continue
             operation = fleet.operations.get(name)
-            if machine.state == "upkeep" or (
+            if machine.state == MACHINE_UPKEEP or (
                 operation and operation.wave == wave.number
             ):
                 down += 1
@@ -175,7 +180,7 @@
             operation = self.fleet.operations.get(name)
             machine = self.fleet.machines.get(name)
             ordered = operation and operation.ordered and operation.wave
-            if ordered or (machine and machine.state == "upkeep"):
+            if ordered or (machine and machine.state == MACHINE_UPKEEP):
                 count += 1
         return count
 
--- a/cyclamenscale/platform/decode.py
+++ b/cyclamenscale/platform/decode.py
@@ -10,6 +10,10 @@
 from cyclamenscale.errors import BadJobError, FieldError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import (
+    MACHINE_DOWN,
+    MACHINE_MOVING,
+    MACHINE_UP,
+    MACHINE_UPKEEP,
     Advice,
     EndReport,
     JobSpec,
@@ -36,6 +40,15 @@
 STEPS_LIMIT = 100
 
 MEMORY_PER_GB = 1024
+
+#: The platform's words for the states of a machine; an unknown one names
+#: no machine to use.
+MACHINE_STATES = {
+    "up": MACHINE_UP,
+    "moving": MACHINE_MOVING,
+    "upkeep": MACHINE_UPKEEP,
+    "down": MACHINE_DOWN,
+}
 CPU_PER_PROCESSOR = 1000
 
 
@@ -206,13 +219,14 @@
     table = from_json(data, where)
     found = []
     for row in rows(table, "machines", where):
-        state = field(row, "state", str, where)
+        word = field(row, "state", str, where)
+        state = MACHINE_STATES.get(word, MACHINE_DOWN)
         labels = rows(row, "labels", where)
         found.append(
             Machine(
                 field(row, "machine", str, where),
                 field(row, "pool", str, where),
-                state == "up",
+                state == MACHINE_UP,
                 state,
                 field(row, "id", str, where, ""),
                 str(labels[1]) if len(labels) > 1 else "",
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -1,11 +1,12 @@
 """Tests of upkeep and moves of machines."""
 
+from cyclamenscale.errors import CallUnansweredError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.capacity import Turn
 from cyclamenscale.jobs.keys import FLEET
 from cyclamenscale.jobs.model import FleetRecord, Step, Wave
 from cyclamenscale.util.codec import decode_record
-from test.jobs.world import World
+from test.jobs.world import World, settled
 
 LASTING = Step(
     3, Resources(4.0, 8.0), lasting=True, worker_limit=1, away_limit=1
@@ -195,3 +196,28 @@
     assert world.machines.orders
     assert len(world.running("j1")) == 4
     assert not world.broken
+
+
+def test_a_machine_that_crashes_after_an_unanswered_order_is_not_done():
+    """Guards against a wave that is told as completed without its upkeep.
+
+    The order was not carried out, and the machine's worker crashed.
+    """
+    world = World()
+    world.lead()
+    world.run(4.0)
+    upkeep = world.machines.upkeep
+    world.machines.upkeep = lambda *args: settled(
+        error=CallUnansweredError("lost")
+    )
+    wave_of(world, "m-pool-a-0", limit=1)
+    world.run(0.5)
+    machines = world.machines.machines
+    machine = machines["m-pool-a-0"]
+    machines[machine.name] = machine._replace(up=False, state="down")
+    world.run(2.0)
+    assert not world.coordinator.machines.waves.waves[1].done
+    world.machines.upkeep = upkeep
+    machines[machine.name] = machine
+    world.run(2.0)
+    assert world.machines.orders == [("upkeep", "m-pool-a-0", 1)]
