Check changed settings on SIGHUP; drop unused parts of the job subsystem

Read as a newcomer: the coordinator took a random source that it did not use, ports and batches are plain data now, State.guarded had no caller.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -5,7 +5,7 @@
 each event and at least every ``TICK_S``.
 """
 
-from random import Random
+from typing import NamedTuple
 
 from cyclamenscale.jobs.advice import Tickets
 from cyclamenscale.jobs.job import Job
@@ -34,7 +34,7 @@
 UNLISTED_USE_S = 3.0
 
 
-class Ports:
+class Ports(NamedTuple):
     """The ports of a coordinator.
 
     :ivar workers: orders to workers.
@@ -42,13 +42,9 @@
     :ivar store: the store.
     """
 
-    def __init__(
-        self, workers: WorkerCalls, machines: MachineCalls, store: StoreCalls
-    ):
-        """Keep the ports."""
-        self.workers = workers
-        self.machines = machines
-        self.store = store
+    workers: WorkerCalls
+    machines: MachineCalls
+    store: StoreCalls
 
 
 class Coordinator:
@@ -56,7 +52,6 @@
 
     :param state: knowledge of the term, without jobs and workers yet.
     :param ports: the ports.
-    :param rng: source of jitter.
     :param on_stored: told of each progress that is stored.
     """
 
@@ -64,12 +59,10 @@
         self,
         state: State,
         ports: Ports,
-        rng: Random,
         on_stored: OnStored = lambda job, record, revision: None,
     ):
         """Make the parts."""
         self.state = state
-        self.rng = rng
         self.orders = Orders(state, ports.workers)
         self.looks = Looks(state, ports.workers, self.orders)
         self.tickets = Tickets(state, ports.workers)
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -95,7 +95,6 @@
         self.decoders = decoders
         self.events = events
         self.metrics = metrics
-        self.rng = rng
         self.board = Board()
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
@@ -268,9 +267,7 @@
             self.events,
             self.metrics,
         )
-        coordinator = Coordinator(
-            state, self.ports, self.rng, self.note_progress
-        )
+        coordinator = Coordinator(state, self.ports, self.note_progress)
         self.coordinator = coordinator
         restore(coordinator, self.board)
         coordinator.machines.handover.restore(self.board.fleet)
--- a/cyclamenscale/jobs/ledger.py
+++ b/cyclamenscale/jobs/ledger.py
@@ -7,12 +7,14 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future
+from typing import NamedTuple
 
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.keys import LEADER, cancel_key, job_key, progress_key
 from cyclamenscale.jobs.model import FINAL, ProgressRecord
 from cyclamenscale.jobs.ports import StoreCalls
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.worker import Worker
 from cyclamenscale.store.port import Compare, Delete, Put, TxnResult
 from cyclamenscale.util.codec import decode_record, encode_record
 
@@ -31,21 +33,16 @@
 OnStored = Callable[[str, ProgressRecord, int], None]
 
 
-class Batch:
+class Batch(NamedTuple):
     """One transaction on its way.
 
     :ivar records: what each job's record becomes.
-    :ivar acknowledged: what may be acknowledged to each worker after it.
+    :ivar acknowledged: each worker with ends, by id, and the number up to
+        which they may be acknowledged after the transaction.
     """
 
-    def __init__(
-        self,
-        records: dict[Job, ProgressRecord],
-        acknowledged: dict[str, tuple[object, int]],
-    ):
-        """Keep the parts."""
-        self.records = records
-        self.acknowledged = acknowledged
+    records: dict[Job, ProgressRecord]
+    acknowledged: dict[str, tuple[Worker, int]]
 
 
 class Ledger:
@@ -97,7 +94,7 @@
         else:
             self.finish(batch)
 
-    def unacknowledged(self) -> dict[str, tuple[object, int]]:
+    def unacknowledged(self) -> dict[str, tuple[Worker, int]]:
         """Return the workers with ends that were applied only in memory."""
         return {
             worker.id: (worker, worker.applied)
@@ -124,8 +121,7 @@
             # The same transaction again: if the first was carried out, the
             # comparisons fail and show the records that it wrote.
             self.note_failure(done.exception())
-            delay = RETRY_S
-            self.retry_s = state.clock() + delay
+            self.retry_s = state.clock() + RETRY_S
             self.batch = None
             for job in batch.records:
                 job.dirty = True
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -82,11 +82,6 @@
             return stored
         return self.manifest.queues.get(stored.name, stored)
 
-    def guarded(self, pool: str) -> bool:
-        """Return whether a pool's workers refuse what does not fit."""
-        known = self.manifest.pools.get(pool)
-        return known.guarded if known else False
-
     def touch(self) -> None:
         """Note that a placement may have become possible."""
         self.changed = True
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from werkzeug.wrappers import Response
 
+from cyclamenscale.errors import SettingsErrors
 from cyclamenscale.jobs.calls import JobCalls
 from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.entry import Decoders, JobEntry
@@ -59,11 +60,13 @@
     """One process: the loop, the entry and its HTTP servers.
 
     :param settings: the whole settings.
+    :param path: the file they are from, empty for none.
     """
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: Settings, path: str = ""):
         """Make the parts."""
         self.settings = settings
+        self.path = path
         self.loop = Loop()
         client = HttpClient(self.loop)
         store = KvStore(settings, client)
@@ -127,8 +130,20 @@
         self.terminated.set()
 
     def on_hup(self, number: int, frame) -> None:
-        """Check the settings file, which has changed."""
-        self.loop.submit(lambda: self.events.note("entry.reload"))
+        """Check the settings file, which has changed.
+
+        All keys are of the process's place and of the platform's bounds,
+        so that a change is in force from the next start on.
+        """
+        try:
+            outcome = "in force from the next start"
+            if load(self.path or None) == self.settings:
+                outcome = "unchanged"
+        except (OSError, SettingsErrors) as error:
+            outcome = f"not usable: {error}"
+        self.loop.submit(
+            lambda: self.events.note("entry.reload", outcome=outcome)
+        )
 
     def run(self) -> int:
         """Serve until SIGTERM."""
@@ -163,6 +178,7 @@
     :param path: settings file, by default the platform's.
     :returns: the exit status.
     """
-    settings = load(path or os.environ.get(SETTINGS_VARIABLE) or None)
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    settings = load(path or None)
     set_up(settings)
-    return Program(settings).run()
+    return Program(settings, path).run()
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -6,7 +6,6 @@
 
 from collections import Counter
 from concurrent.futures import Future
-from random import Random
 
 from cyclamenscale.errors import (
     CallUnansweredError,
@@ -426,7 +425,7 @@
             Metrics(self.settings),
         )
         ports = Ports(self.workers, self.machines, self.store)
-        self.coordinator = Coordinator(state, ports, Random(1))
+        self.coordinator = Coordinator(state, ports)
         state.registry_read = True
         for name, worker in self.workers.workers.items():
             if listed is None or name in listed:
--- a/test/platform/test_program.py
+++ b/test/platform/test_program.py
@@ -242,3 +242,24 @@
     platform.mode = "lost"
     assert entry.call("POST", f"/replan/{ID}", JOB)[0] == 504
     platform.mode = "up"
+
+
+def test_changed_settings_are_checked_on_sighup(entry, tmp_path):
+    """Guards against a faulty settings file that shows at the next start."""
+    program = entry.program
+    noted = []
+    program.events.note = lambda kind, **fields: noted.append((kind, fields))
+    path = tmp_path / "entry.ini"
+    program.path = str(path)
+    for text, found in (
+        ("[jobs]\nhold_s = 4\n", "in force from the next start"),
+        ("[jobs]\nhold_s = long\n", "not usable"),
+    ):
+        path.write_text(text)
+        program.on_hup(1, None)
+        entry.wait_for(
+            lambda found=found: any(
+                kind == "entry.reload" and fields["outcome"].startswith(found)
+                for kind, fields in noted
+            )
+        )
