Judge the worker that an order was for, not the one the list showed at first

Cause, found by reading the whole change: settling an operation compared the newest listing with the worker that the list showed when the operation began. Where it showed none, because the worker had just registered, an upkeep that an earlier holder had carried out made the live worker count as gone, and its tasks would have started again beside their runs (TWICE). The worker at the first order is kept and compared now.

--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -47,6 +47,7 @@
     :ivar wave: number of the wave, 0 for a move.
     :ivar pool: target of a move, or empty.
     :ivar ordered: whether an order was sent.
+    :ivar worker: worker that was there when the order was first sent.
     :ivar carried_out: whether the platform said that it was done.
     """
 
@@ -61,6 +62,7 @@
         self.ordered = False
         self.carried_out = False
         self.done_s = 0.0
+        self.worker: Worker | None = None
 
     @property
     def name(self) -> str:
@@ -261,14 +263,15 @@
     def order(self, operation: Operation, now_s: float) -> None:
         """Send the order of an operation, the first time or again."""
         state = self.state
+        if not operation.ordered:
+            operation.worker = self.worker_of(operation.machine)
         operation.ordered = True
         operation.in_flight = True
         operation.retry_s = now_s + RETRY_S
         term = state.term
         name = operation.machine.name
-        worker = self.worker_of(operation.machine)
-        if worker:
-            worker.condemned = True
+        if operation.worker:
+            operation.worker.condemned = True
         if operation.wave:
             answer = self.calls.upkeep(
                 name, operation.wave, term.node, term.fence
@@ -299,11 +302,8 @@
         if reason == "busy" and self.machines.get(name):
             # It may be an earlier order that is being carried out.
             return
-        if reason and not operation.wave:
-            self.give_up(operation, reason)
-            return
         if reason:
-            if reason == "wave":
+            if reason == "wave" and operation.wave:
                 self.waves.note_done(operation.wave, name)
             self.give_up(operation, reason)
             return
@@ -324,8 +324,9 @@
 
     def settle(self, operation: Operation, machine: Machine | None) -> None:
         """Follow a listing that is newer than the platform's answer."""
-        worker = self.worker_of(operation.machine)
-        same = machine and machine.worker == operation.machine.worker
+        worker = operation.worker
+        # The list may lack a worker that has registered just now.
+        same = worker and machine and machine.worker in ("", worker.id)
         if worker and not (same and machine.up):
             # What ran there has ended with the order.
             worker.gone = True
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -221,3 +221,27 @@
     machines[machine.name] = machine
     world.run(2.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-0", 1)]
+
+
+def test_a_worker_that_the_list_lacked_survives_an_upkeep_done_before():
+    """Guards against a second run after an answer that says "done already".
+
+    The list showed no worker when the operation began, and shows the one
+    that has registered since when the answer is followed.
+    """
+    world = World(workers=3)
+    machines = world.machines.machines
+    listed = machines["m-pool-a-0"]
+    machines["m-pool-a-0"] = listed._replace(worker="")
+    world.lead()
+    world.run(4.0)
+    world.machines.orders.append(("upkeep", "m-pool-a-0", 1))
+    world.submit("j1", Step(3, Resources(4.0, 8.0), lasting=True))
+    world.run(0.2)
+    before = sorted(world.running())
+    wave_of(world, "m-pool-a-0")
+    world.run(0.1)
+    machines["m-pool-a-0"] = listed
+    world.run(2.0)
+    assert sorted(world.running()) == before
+    assert not world.broken
