Log failed lease calls and unreadable records; drop a time that nobody set

Read-through: failures of lease renewals, of ended leases and of removals were dropped without a line, and so were records that could not be read at the beginning of a term. Task.not_before_s was checked and never set. A lambda and a doubled branch go. No other behaviour changes.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -81,9 +81,7 @@
             # An earlier process of this machine held it; it is dead.
             self.due_s = now_s + RETRY_S
             self.events.note("leader.end_own", lease=leader.lease)
-            self.store.end_lease(leader.lease).add_done_callback(
-                lambda done: done.exception()
-            )
+            self.end_lease(leader.lease)
         elif now_s - self.read_s > REREAD_S:
             # The watch may be deaf for a while.
             self.read_s = now_s
@@ -157,6 +155,7 @@
             if lease != self.lease.id:
                 return
             if done.exception():
+                self.note_failure("renew", done)
                 return
             if done.result():
                 self.lease.renewed(now_s)
@@ -166,6 +165,21 @@
 
         self.store.keep_lease(lease).add_done_callback(renewed)
 
+    def end_lease(self, lease: int) -> None:
+        """End a lease; one that can't be ended runs out by itself."""
+
+        def ended(done: Future) -> None:
+            if done.exception():
+                self.note_failure("end", done)
+
+        self.store.end_lease(lease).add_done_callback(ended)
+
+    def note_failure(self, call: str, done: Future) -> None:
+        """Log a call about a lease that failed."""
+        self.events.note(
+            "leader.lease_failed", call=call, reason=str(done.exception())
+        )
+
     def resign(self, why: str) -> None:
         """End the term; the lease, if it is left, is ended too."""
         if self.term:
@@ -173,9 +187,7 @@
             self.term = None
             self.end(why)
         if self.lease.id:
-            self.store.end_lease(self.lease.id).add_done_callback(
-                lambda done: done.exception()
-            )
+            self.end_lease(self.lease.id)
             self.lease.lost()
         self.board.leader = None
         self.due_s = self.loop.clock() + RETRY_S
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -130,7 +130,7 @@
             ports.store,
             events,
             decoders.operator_prefix,
-            lambda items, revision: self.apply_operator(items, revision),
+            self.apply_operator,
             self.apply_operator,
             wait_ms,
         )
@@ -157,11 +157,15 @@
 
     def replace_jobs(self, items: list[KeyValue], revision: int) -> None:
         """Take a full reading of the jobs over."""
-        for fault in self.board.replace(items, revision, self.loop.clock()):
-            self.events.note("board.unreadable", reason=fault)
+        self.read_board(items, revision)
         self.feed_coordinator(items)
         self.check_leader()
 
+    def read_board(self, items: list[KeyValue], revision: int) -> None:
+        """Put a full reading on the board."""
+        for fault in self.board.replace(items, revision, self.loop.clock()):
+            self.events.note("board.unreadable", reason=fault)
+
     def apply_jobs(self, items: list[KeyValue], revision: int) -> None:
         """Take changes of the jobs over."""
         now_s = self.loop.clock()
@@ -247,10 +251,7 @@
             if done.exception():
                 self.election.resign(f"no reading: {done.exception()}")
                 return
-            items = done.result().items
-            self.board.replace(
-                items, done.result().revision, self.loop.clock()
-            )
+            self.read_board(done.result().items, done.result().revision)
             self.coordinate(term)
 
         self.ports.store.read_range(PREFIX).add_done_callback(read)
@@ -361,8 +362,14 @@
         before_s = now_s - self.settings.jobs.retention_s
         jobs = self.board.over(before_s, REMOVED_PER_TXN)
         if jobs:
-            self.coordinator.ledger.remove(jobs).add_done_callback(
-                lambda done: done.exception()
+            removed = self.coordinator.ledger.remove(jobs)
+            removed.add_done_callback(self.note_removal)
+
+    def note_removal(self, done: Future) -> None:
+        """Log a removal that failed; the next one takes the same jobs."""
+        if done.exception():
+            self.events.note(
+                "board.removal_failed", reason=str(done.exception())
             )
 
     def is_ready(self) -> bool:
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -41,7 +41,6 @@
     :ivar runs: runs that are, or may be, on workers.
     :ivar checkpoint: last progress saved, or empty.
     :ivar avoid: workers on which it failed.
-    :ivar not_before_s: earliest next start, after repeated failures.
     """
 
     __slots__ = (
@@ -51,7 +50,6 @@
         "failed_runs",
         "index",
         "name",
-        "not_before_s",
         "runs",
         "step",
     )
@@ -67,7 +65,6 @@
         self.checkpoint = ""
         self.done = False
         self.avoid: set[str] = set()
-        self.not_before_s = 0.0
 
     @property
     def job(self) -> "Job":
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -173,11 +173,9 @@
         if self.is_unseen(step.job, now_s):
             return
         if step.spec.gang:
-            self.place_gang(step, candidates, reserved, now_s)
+            self.place_gang(step, candidates, reserved)
             return
         for task in list(step.waiting):
-            if task.not_before_s > now_s:
-                continue
             worker = self.choose(task, candidates, reserved)
             if worker:
                 number = step.job.next_run()
@@ -293,13 +291,10 @@
         step: StepState,
         candidates: list[Candidate],
         reserved: set[str],
-        now_s: float,
     ) -> None:
         """Start all tasks of a gang under one run number, or none."""
         if len(step.waiting) < step.left or not step.left:
             return
-        if any(task.not_before_s > now_s for task in step.waiting):
-            return
         racks = [candidates]
         if step.spec.same_rack:
             by_rack: dict[str, list[Candidate]] = {}
