Keep the record of machine orders no longer than it excludes anybody

Found by reading: the next holder's own record dropped what the one before had ordered, so that a third holder within the exclusion time could have given orders in turn with the first (ONE). Now a machine leaves the record once it excludes nobody, what the holder before left stays in it until then, and machines that are excluded are not emptied for moves. Tests: three in test/jobs/test_machines.py (failed before).

--- a/cyclamenscale/jobs/handover.py
+++ b/cyclamenscale/jobs/handover.py
@@ -18,6 +18,9 @@
 #: Added to the time for which another holder's orders exclude ours.
 HOLDER_MARGIN_S = 0.3
 
+#: Time between two writes of the record that only take machines out of it.
+SHRINK_S = 0.5
+
 
 class Handover:
     """Stores the record, and tells which machines may be ordered about.
@@ -40,6 +43,7 @@
         self.noted: set[str] = set()
         self.record: FleetRecord | None = None
         self.save_in_flight = False
+        self.saved_s = 0.0
 
     def restore(self, record: FleetRecord) -> None:
         """Take over what the holder before has left.
@@ -61,15 +65,20 @@
     def save(self, now_s: float) -> None:
         """Store what the next coordinator has to know, if it has changed.
 
-        An order is sent only once the record names its machine.
+        An order is sent only once the record names its machine. A machine
+        leaves the record as soon as another holder may order about it, since
+        the next one can't tell how old the record is.
         """
         if self.save_in_flight or not self.state.proven():
             return
         state = self.state
-        recent_s = now_s - 2 * self.pause_s
+        recent_s = now_s - self.pause_s
         wanted = {
             name for name, at_s in self.order_s.items() if at_s > recent_s
         }
+        if state.term.began_s > recent_s:
+            # A third holder may follow before these are free.
+            wanted |= self.earlier_orders
         self.order_s = {
             name: at_s
             for name, at_s in self.order_s.items()
@@ -85,28 +94,33 @@
                 for turn in rhythm.turns
             ),
         )
-        if not self.has_news(record):
+        if not self.has_news(record, now_s):
             return
         self.save_in_flight = True
+        # No order for a machine that this write takes out of the record.
+        self.noted &= wanted
 
         def saved(done: Future) -> None:
             self.save_in_flight = False
             if not done.exception() and done.result().succeeded:
                 self.noted = wanted
                 self.record = record
+                self.saved_s = now_s
 
         self.store.txn(
             [Compare(LEADER, state.term.fence)],
             [Put(FLEET, encode_record(record))],
         ).add_done_callback(saved)
 
-    def has_news(self, record: FleetRecord) -> bool:
-        """Return whether a record says more than the stored one."""
+    def has_news(self, record: FleetRecord, now_s: float) -> bool:
+        """Return whether a record differs enough from the stored one."""
         known = self.record
         if known is None:
             return bool(record.ordered or record.homes)
+        ordered = set(record.ordered)
         return (
-            not set(record.ordered) <= self.noted
+            not ordered <= self.noted
+            or (ordered < self.noted and now_s - self.saved_s > SHRINK_S)
             or record.homes != known.homes
             or [turn[0] for turn in record.turns]
             != [turn[0] for turn in known.turns]
@@ -118,12 +132,14 @@
         pause_ms = self.state.settings.jobs.holder_pause_ms
         return pause_ms / 1000 + HOLDER_MARGIN_S
 
+    def is_excluded(self, machine: str, now_s: float) -> bool:
+        """Return whether orders of the holder before exclude ours."""
+        since_s = now_s - self.state.term.began_s
+        return machine in self.earlier_orders and since_s <= self.pause_s
+
     def may_order(self, machine: str, now_s: float) -> bool:
         """Return whether an order for a machine may be sent now."""
-        if not self.state.proven():
-            return False
-        since_s = now_s - self.state.term.began_s
-        if machine in self.earlier_orders and since_s <= self.pause_s:
+        if not self.state.proven() or self.is_excluded(machine, now_s):
             return False
         self.order_s[machine] = now_s
         return machine in self.noted
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -420,6 +420,7 @@
                 not machine.up
                 or machine.name in self.operations
                 or machine.name in due
+                or self.handover.is_excluded(machine.name, now_s)
             ):
                 continue
             worker = self.worker_of(machine)
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -88,6 +88,57 @@
     assert after.capacity.rhythm.turns == [Turn("pool-a", 90.0, 7)]
 
 
+def fleet_record(world):
+    """Return the record that the next coordinator would find."""
+    item = world.store.items[FLEET]
+    return decode_record(item.value, FleetRecord, FLEET)
+
+
+def test_a_third_holder_knows_the_orders_of_the_first():
+    """Guards against a holder between two that forgets recent orders."""
+    world = World()
+    world.lead()
+    world.run(1.0)
+    wave_of(world, "m-pool-a-0")
+    world.run(0.3)
+    for holder in ("e2", "e3"):
+        record = fleet_record(world)
+        world.lead(holder)
+        world.coordinator.machines.handover.restore(record)
+        world.run(0.5)
+    assert world.coordinator.machines.handover.is_excluded(
+        "m-pool-a-0", world.clock()
+    )
+
+
+def test_orders_are_forgotten_once_another_holder_may_give_some():
+    """Guards against machines kept from the next holder for too long."""
+    world = World()
+    world.lead()
+    world.run(1.0)
+    wave_of(world, "m-pool-a-0")
+    world.run(0.5)
+    assert fleet_record(world).ordered == ("m-pool-a-0",)
+    machine = world.machines.machines["m-pool-a-0"]
+    world.machines.machines["m-pool-a-0"] = machine._replace(
+        up=True, state="up", worker="pool-a-0"
+    )
+    world.run(4.5)
+    assert fleet_record(world).ordered == ()
+
+
+def test_a_machine_still_excluded_goes_on_working():
+    """Guards against machines emptied while no order for them may go out."""
+    world = World()
+    world.lead()
+    machines = world.coordinator.machines
+    machines.handover.restore(FleetRecord(("m-pool-a-0",)))
+    world.run(1.5)
+    spares = [row.machine.name for row in machines.spares(world.clock())]
+    assert "m-pool-a-0" not in spares
+    assert "m-pool-a-1" in spares
+
+
 def test_an_order_whose_answer_was_lost_is_not_given_twice():
     """Guards against a machine that is taken down a second time."""
     world = World()
