Find slow and stalled workers by the progress of their runs

Ruled out: judging by one run (long tasks are a part of the load), and by estimates alone (off by half and more); a worker is judged by the median of its jobs against its pool, and a step by its tasks elsewhere. Runs that would end sooner elsewhere are stopped and started anew, or copied where that is allowed; a slow worker is tried with one run at a time.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -23,6 +23,7 @@
 from cyclamenscale.jobs.pacing import Pacing
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls, WorkerCalls
+from cyclamenscale.jobs.speeds import Speeds
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.worker import Worker
 
@@ -64,9 +65,10 @@
         """Make the parts."""
         self.state = state
         self.orders = Orders(state, ports.workers)
-        self.looks = Looks(state, ports.workers, self.orders)
         self.tickets = Tickets(state, ports.workers)
         self.placement = Placement(state, self.orders, self.tickets)
+        self.speeds = Speeds(state, self.orders, self.placement)
+        self.looks = Looks(state, ports.workers, self.orders, self.speeds)
         self.ledger = Ledger(state, ports.store, on_stored)
         self.pacing = Pacing(state, self.orders)
         self.machines = Machines(
@@ -175,6 +177,7 @@
         self.looks.lapse(now_s)
         self.orders.repeat(now_s)
         self.placement.copy_doubtful(now_s)
+        self.speeds.run(now_s)
         self.leave_draining()
         wall_ms = state.wall() * 1000
         for job in state.jobs.values():
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -32,6 +32,9 @@
 #: A task whose estimate is missing counts as this long.
 ESTIMATE_DEFAULT_MS = 500.0
 
+#: Times of ended runs of a step that are kept.
+RAN_LIMIT = 15
+
 
 class Task:
     """One task.
@@ -41,6 +44,7 @@
     :ivar runs: runs that are, or may be, on workers.
     :ivar checkpoint: last progress saved, or empty.
     :ivar avoid: workers on which it failed.
+    :ivar moves: how often it was moved off a slow worker.
     """
 
     __slots__ = (
@@ -49,6 +53,7 @@
         "done",
         "failed_runs",
         "index",
+        "moves",
         "name",
         "runs",
         "step",
@@ -65,6 +70,7 @@
         self.checkpoint = ""
         self.done = False
         self.avoid: set[str] = set()
+        self.moves = 0
 
     @property
     def job(self) -> "Job":
@@ -77,6 +83,7 @@
 
     :ivar waiting: tasks that have no run and are not done.
     :ivar left: tasks that are not done.
+    :ivar ran_s: times of the latest runs that were done.
     """
 
     __slots__ = (
@@ -84,6 +91,7 @@
         "left",
         "number",
         "occurrence",
+        "ran_s",
         "spec",
         "tasks",
         "waiting",
@@ -98,12 +106,23 @@
         self.tasks = [Task(self, index) for index in range(spec.count)]
         self.waiting = list(self.tasks)
         self.left = spec.count
+        self.ran_s: list[float] = []
 
     @property
     def done(self) -> bool:
         """Return whether all tasks are done."""
         return not self.left
 
+    @property
+    def estimate_s(self) -> float:
+        """Return the estimated time of a task."""
+        return (self.spec.estimate_ms or ESTIMATE_DEFAULT_MS) / 1000
+
+    def note_ran(self, ran_s: float) -> None:
+        """Note how long a run took that was done."""
+        self.ran_s.append(ran_s)
+        del self.ran_s[:-RAN_LIMIT]
+
     def away(self) -> int:
         """Return how many tasks are not known to be at work."""
         return sum(not any(r.at_work for r in t.runs) for t in self.tasks)
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -16,6 +16,7 @@
 )
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.ports import HoldOrder, OrderAnswer, WorkerCalls
+from cyclamenscale.jobs.speeds import Speeds
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.worker import (
     RUNNING,
@@ -41,13 +42,21 @@
     :param state: shared knowledge.
     :param calls: the workers.
     :param orders: stops runs that should not be there.
+    :param speeds: told of runs that were done.
     """
 
-    def __init__(self, state: State, calls: WorkerCalls, orders: Orders):
+    def __init__(
+        self,
+        state: State,
+        calls: WorkerCalls,
+        orders: Orders,
+        speeds: Speeds,
+    ):
         """Start without looks in flight."""
         self.state = state
         self.calls = calls
         self.orders = orders
+        self.speeds = speeds
 
     def due(self, now_s: float) -> None:
         """Look at the workers whose time has come."""
@@ -252,6 +261,7 @@
         """Take over a run that this term did not start."""
         task = self.find(row.task)
         run = Run(row.task, row.run, task, worker, now_s)
+        run.adopted = True
         run.phase = RUNNING
         worker.add(run)
         worker.update_run(run, row, clock_ms, now_s)
@@ -283,6 +293,7 @@
         if run is None:
             # From an earlier term, or after its hold was taken to be over.
             run = Run(end.task, end.run, task, worker, now_s)
+            run.adopted = True
             if task:
                 task.job.highest_run = max(task.job.highest_run, end.run)
         self.ended(run, end.how, end.checkpoint)
@@ -322,6 +333,7 @@
         if how == END_DONE:
             worker.demerits = 0
             worker.failed_jobs.clear()
+            self.speeds.note_done(run, self.state.clock())
         elif how == END_FAILED:
             job = run.name.partition(".")[0]
             if job not in worker.failed_jobs and len(worker.failed_jobs) < 50:
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -143,7 +143,7 @@
     def candidates(self, pool: str, now_s: float) -> list[Candidate]:
         """Return the workers of a pool that may take tasks."""
         return [
-            Candidate(worker, worker.demerits >= DEMERITS_LIMIT)
+            Candidate(worker, worker.slow or worker.demerits >= DEMERITS_LIMIT)
             for worker in self.state.workers.values()
             if worker.entry.pool == pool and self.may_take(worker, now_s)
         ]
@@ -239,7 +239,7 @@
             )
         return (
             worker.id in task.avoid,
-            worker.demerits > 0,
+            worker.slow or worker.demerits > 0,
             far,
             filling,
             *(self.rank_lasting(task, worker) if spec.lasting else ()),
@@ -361,15 +361,20 @@
                 ):
                     self.copy(task, now_s)
 
-    def copy(self, task: Task, now_s: float) -> None:
-        """Start another run of a task beside the one it has."""
+    def find_other(self, task: Task, now_s: float) -> Worker | None:
+        """Return a worker that could take a task beside its runs."""
         pool = task.job.queue.pool
+        taken = {run.worker.id for run in task.runs}
         candidates = [
             candidate
             for candidate in self.candidates(pool, now_s)
-            if all(run.worker is not candidate.worker for run in task.runs)
+            if candidate.worker.id not in taken and not candidate.worker.slow
         ]
-        worker = self.choose(task, candidates, set())
+        return self.choose(task, candidates, set())
+
+    def copy(self, task: Task, now_s: float) -> None:
+        """Start another run of a task beside the one it has."""
+        worker = self.find_other(task, now_s)
         if worker:
             number = task.job.next_run()
             ticket = self.tickets.find(task.step, worker)
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -18,6 +18,10 @@
 #: Rounding of sums of resources.
 EPSILON = 1e-6
 
+#: Time over which the progress of a run is measured. Shares are told in
+#: whole percent, and a run of 30 s progresses by two in this time.
+RATE_SPAN_S = 0.5
+
 #: Phases of a run.
 STARTING = "starting"
 DOUBTFUL = "doubtful"
@@ -32,22 +36,29 @@
     :ivar phase: what was ordered and answered.
     :ivar confirmed_ms: worker's clock when it last showed it, or stopped it.
     :ivar percent: share of the work done, as last shown.
-    :ivar progress_s: when the share last changed.
+    :ivar rate: percent of its work a second of late, None if not known.
+    :ivar mark_percent: share at the beginning of that measurement.
+    :ivar mark_s: time of that, 0 before the first report.
     :ivar tries: starts or stops sent without an answer.
+    :ivar adopted: whether another term started it, so that its time is not
+        known.
     :ivar in_flight: whether an order for it has no answer yet.
     """
 
     __slots__ = (
+        "adopted",
         "confirmed_ms",
         "fills",
         "in_flight",
+        "mark_percent",
+        "mark_s",
         "name",
         "need",
         "number",
         "paced",
         "percent",
         "phase",
-        "progress_s",
+        "rate",
         "started_s",
         "task",
         "tries",
@@ -75,10 +86,13 @@
         self.started_s = now_s
         self.confirmed_ms = 0
         self.percent = 0.0
-        self.progress_s = now_s
+        self.rate: float | None = None
+        self.mark_percent = 0.0
+        self.mark_s = 0.0
         self.usage = 0.0
         self.paced = 100
         self.tries = 0
+        self.adopted = False
         self.in_flight = False
 
     @property
@@ -92,6 +106,16 @@
         """Return the key of the run on its worker."""
         return self.name, self.number
 
+    def measure(self, now_s: float) -> None:
+        """Measure the progress between reports that are far enough apart."""
+        span_s = now_s - self.mark_s
+        if self.mark_s and span_s < RATE_SPAN_S:
+            return
+        if self.mark_s:
+            self.rate = (self.percent - self.mark_percent) / span_s
+        self.mark_percent = self.percent
+        self.mark_s = now_s
+
 
 class Worker:
     """One life of a worker.
@@ -108,6 +132,8 @@
         order had no answer, 0 if none did; no starts until it is answered.
     :ivar reported_ms: worker's clock in the newest report.
     :ivar demerits: failed runs since the last that was done.
+    :ivar slow: whether its runs take much longer than elsewhere.
+    :ivar slow_since_s: when they last did.
     """
 
     def __init__(self, entry: WorkerEntry, now_s: float):
@@ -135,6 +161,8 @@
         self.blocked_until_s = 0.0
         self.demerits = 0
         self.failed_jobs: set[str] = set()
+        self.slow = False
+        self.slow_since_s = 0.0
         self.orders_in_flight = 0
         self.used = Resources()
         self.gone = False
@@ -216,9 +244,8 @@
         if run.phase in (STARTING, DOUBTFUL):
             run.phase = RUNNING
         run.confirmed_ms = max(run.confirmed_ms, clock_ms)
-        if shown.percent != run.percent:
-            run.percent = shown.percent
-            run.progress_s = now_s
+        run.percent = shown.percent
+        run.measure(now_s)
         run.usage = shown.usage
         if shown.checkpoint and run.task:
             run.task.checkpoint = shown.checkpoint
