Let an entry that the store turns away ask a peer

Cause: the platform's store may refuse some entries and serve the others. Such an entry refused every job for as long as that lasted, since callers keep their open connections, and showed states that were seconds old.

--- a/cyclamenscale/jobs/acceptance.py
+++ b/cyclamenscale/jobs/acceptance.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 from concurrent.futures import Future
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from cyclamenscale.errors import (
     NotAcceptedNowError,
@@ -52,19 +52,33 @@
     value: bytes
 
 
+class Fallback(Protocol):
+    """Who creates records that the store refuses to this entry."""
+
+    def available(self) -> bool:
+        """Return whether it is worth asking."""
+
+    def create(self, key: str, value: bytes, end_s: float) -> Future:
+        """Create a record; the outcome is that of an acceptance."""
+
+
 class Write:
     """A record to create.
 
     :ivar maybe: whether an earlier try may still be carried out.
+    :ivar own: whether only this entry may try.
     """
 
-    def __init__(self, key: str, value: bytes, end_s: float):
+    def __init__(
+        self, key: str, value: bytes, end_s: float, own: bool = False
+    ):
         """Keep the record and when the caller gives up."""
         self.key = key
         self.value = value
         self.end_s = end_s
         self.outcome: Future = Future()
         self.maybe = False
+        self.own = own
         self.tries = 0
 
 
@@ -74,13 +88,21 @@
     :param loop: timers.
     :param store: the store.
     :param events: log of what failed.
+    :param fallback: asked for what the store refuses to this entry.
     """
 
-    def __init__(self, loop: Loop, store: StoreCalls, events: EventLog):
+    def __init__(
+        self,
+        loop: Loop,
+        store: StoreCalls,
+        events: EventLog,
+        fallback: Fallback | None = None,
+    ):
         """Start with nothing waiting."""
         self.loop = loop
         self.store = store
         self.events = events
+        self.fallback = fallback
         self.waiting: deque[Write] = deque()
         self.in_flight = 0
         self.scheduled = False
@@ -97,12 +119,19 @@
             if it is certainly not stored, and with
             :class:`UnknownOutcomeError` if that is not known.
         """
-        write = Write(key, value, end_s)
+        return self.begin(Write(key, value, end_s))
+
+    def create_here(self, key: str, value: bytes, end_s: float) -> Future:
+        """Create a record for a peer, without asking others."""
+        return self.begin(Write(key, value, end_s, own=True))
+
+    def begin(self, write: Write) -> Future:
+        """Queue a record, or refuse it at once."""
         if len(self.waiting) >= WAITING_LIMIT:
             write.outcome.set_exception(NotAcceptedNowError("overload", 1.0))
             return write.outcome
         if self.is_away():
-            self.give_up(write)
+            self.fall_back(write)
             return write.outcome
         self.waiting.append(write)
         self.schedule(0.0)
@@ -189,28 +218,48 @@
         self.failed_s = now_s
         self.probe_s = now_s + PROBE_S
         lost = not isinstance(error, StoreUnavailableError)
-        again: list[Write] = []
         if not isinstance(error, StoreError):
             self.events.note("accept.store_error", reason=str(error))
         for write in group:
             write.maybe = write.maybe or lost
-            if write.end_s - now_s < RETRY_S or not write.maybe:
-                self.give_up(write)
-            else:
-                again.append(write)
+            self.fall_back(write)
         self.events.note(
             "accept.store_failed",
             records=len(group),
             lost=lost,
             reason=str(error),
         )
-        if again:
-            self.loop.call_later(RETRY_S, lambda: self.repeat(again))
 
-    def repeat(self, writes: list[Write]) -> None:
-        """Send records again whose transaction had no answer."""
-        self.waiting.extend(writes)
-        self.send()
+    def fall_back(self, write: Write) -> None:
+        """Have another entry create a record that the store refused here."""
+        if write.own or not self.fallback or not self.fallback.available():
+            self.repeat_later(write)
+            return
+        asked = self.fallback.create(write.key, write.value, write.end_s)
+
+        def answered(done: Future) -> None:
+            error = done.exception()
+            if error is None:
+                write.outcome.set_result(done.result())
+                return
+            if isinstance(error, UnknownOutcomeError):
+                write.maybe = True
+            self.repeat_later(write)
+
+        asked.add_done_callback(answered)
+
+    def repeat_later(self, write: Write) -> None:
+        """Send a record again if it may be stored already, else refuse it."""
+        left_s = write.end_s - self.loop.clock()
+        if write.maybe and left_s >= RETRY_S:
+            self.loop.call_later(RETRY_S, lambda: self.repeat(write))
+        else:
+            self.give_up(write)
+
+    def repeat(self, write: Write) -> None:
+        """Send a record again whose transaction had no answer."""
+        self.waiting.append(write)
+        self.schedule(0.0)
 
     def give_up(self, write: Write) -> None:
         """Tell that a record is not stored, or that nobody knows."""
--- a/cyclamenscale/jobs/board.py
+++ b/cyclamenscale/jobs/board.py
@@ -5,6 +5,7 @@
 from cyclamenscale.errors import FieldError
 from cyclamenscale.jobs.keys import (
     CANCEL,
+    ENTRY,
     FLEET,
     JOB,
     LEADER,
@@ -15,6 +16,7 @@
     CANCELLED,
     FINAL,
     QUEUED,
+    EntryRecord,
     FleetRecord,
     JobRecord,
     ProgressRecord,
@@ -88,6 +90,8 @@
         #: Progress of waves by number.
         self.waves: dict[int, WaveRecord] = {}
         self.fleet = FleetRecord()
+        #: Where the entries are, by name.
+        self.entries: dict[str, EntryRecord] = {}
         self.revision = 0
         self.filled = False
 
@@ -122,6 +126,13 @@
         elif key.startswith(WAVE) and not gone:
             number = int(key.removeprefix(WAVE))
             self.waves[number] = decode_record(item.value, WaveRecord, key)
+        elif key.startswith(ENTRY):
+            name = key.removeprefix(ENTRY)
+            if gone:
+                self.entries.pop(name, None)
+            else:
+                record = decode_record(item.value, EntryRecord, key)
+                self.entries[name] = record
         elif key.startswith(CANCEL) and not gone:
             self.posting(key.removeprefix(CANCEL)).cancelled = True
             self.note_end(key.removeprefix(CANCEL), now_s)
@@ -161,6 +172,7 @@
         :returns: errors of keys that can't be read.
         """
         self.leader = None
+        self.entries = {}
         kept = {
             item.key.removeprefix(JOB)
             for item in items
--- a/cyclamenscale/jobs/calls.py
+++ b/cyclamenscale/jobs/calls.py
@@ -17,6 +17,7 @@
 from cyclamenscale.jobs.keys import cancel_key, job_key
 from cyclamenscale.jobs.model import FINAL, JobRecord, JobSpec, Queue
 from cyclamenscale.util.codec import decode_record, encode_record
+from cyclamenscale.util.loop import pass_on
 
 #: Part of the caller's time that is left for the answer's way back.
 ANSWER_MARGIN_S = 0.25
@@ -112,7 +113,33 @@
             self.entry.plan_turn()
 
     def state_of(self, queue: Queue, job: str) -> Future:
-        """Return the state of a job; a :class:`NoJobError` if none is."""
+        """Return the state of a job; a :class:`NoJobError` if none is.
+
+        An entry whose watch is behind asks a peer.
+        """
+        posting = self.entry.board.postings.get(job)
+        known = posting and posting.record and posting.state in FINAL
+        entry = self.entry
+        if known or not entry.is_behind() or not entry.relay.available():
+            return self.state_here(queue.name, job)
+        outcome: Future = Future()
+
+        def told(done: Future) -> None:
+            if done.exception():
+                outcome.set_exception(done.exception())
+            elif done.result():
+                outcome.set_result(done.result())
+            else:
+                pass_on(self.state_here(queue.name, job), outcome)
+
+        entry.relay.state(queue.name, job).add_done_callback(told)
+        return outcome
+
+    def state_here(self, queue: str, job: str) -> Future:
+        """Return the state of a job as this entry knows it.
+
+        :param queue: name of the queue that the caller named.
+        """
         outcome: Future = Future()
         posting = self.entry.board.postings.get(job)
         if posting and posting.record:
@@ -132,12 +159,12 @@
         self.entry.ports.store.read(job_key(job)).add_done_callback(read)
         return outcome
 
-    def settle_state(self, queue: Queue, job: str, outcome: Future) -> None:
+    def settle_state(self, queue: str, job: str, outcome: Future) -> None:
         """Answer with the state on the board."""
         posting = self.entry.board.postings.get(job)
         if not posting or not posting.record:
             outcome.set_exception(NoJobError(f"no job {job}"))
-        elif posting.record.queue.name != queue.name:
+        elif posting.record.queue.name != queue:
             outcome.set_exception(NoJobError(f"no job {job} in this queue"))
         else:
             outcome.set_result(posting.state)
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -22,17 +22,21 @@
 from cyclamenscale.jobs.ledger import REMOVED_PER_TXN
 from cyclamenscale.jobs.model import (
     FINAL,
+    EntryRecord,
     Manifest,
     ProgressRecord,
     Wave,
     WorkerEntry,
 )
+from cyclamenscale.jobs.presence import Presence
+from cyclamenscale.jobs.relay import Answerer, Relay
 from cyclamenscale.jobs.state import State, Term
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import KeyValue
 from cyclamenscale.util.events import EventLog
 from cyclamenscale.util.loop import Loop
+from cyclamenscale.util.peer_calls import PeerCalls
 
 #: Time between looks at what has a time.
 RUN_S = 0.1
@@ -43,6 +47,9 @@
 #: Without an answer of the store for this long an entry is not ready.
 STORE_SILENCE_S = 2.5
 
+#: A watch that has not answered for this long over its own time is behind.
+WATCH_SLACK_S = 0.4
+
 #: Time between removals of ended jobs.
 REMOVE_S = 2.0
 
@@ -76,6 +83,8 @@
     :param ports: store, workers and machines.
     :param decoders: how foreign keys are read.
     :param rng: source of jitter.
+    :param links: questions to and from the other entries.
+    :ivar answerer: answers the peers' questions; set before the start.
     """
 
     def __init__(
@@ -87,6 +96,7 @@
         events: EventLog,
         metrics: Metrics,
         rng: Random,
+        links: PeerCalls,
     ):
         """Make the parts; :meth:`start` begins."""
         self.settings = settings
@@ -103,7 +113,11 @@
         self.worker_feed: Feed | None = None
         self.turn_planned = False
         self.remove_due_s = 0.0
-        self.acceptance = Acceptance(loop, ports.store, events)
+        self.links = links
+        self.answerer: Answerer | None = None
+        self.presence: Presence | None = None
+        self.relay = Relay(loop, links, events, rng)
+        self.acceptance = Acceptance(loop, ports.store, events, self.relay)
         self.election = Election(
             settings,
             loop,
@@ -138,10 +152,25 @@
     def start(self) -> None:
         """Begin to follow the store; the loop's thread only."""
         self.events.note("entry.start", settings=self.settings.entry._asdict())
+        if self.answerer:
+            self.links.start(self.answerer.take)
+            self.register()
         self.job_feed.start()
         self.operator_feed.start()
         self.run()
 
+    def register(self) -> None:
+        """Tell the other entries where this one answers."""
+        entry = self.settings.entry
+        self.presence = Presence(
+            self.loop,
+            self.ports.store,
+            self.events,
+            entry.name,
+            EntryRecord(self.links.address, entry.data_centre),
+        )
+        self.presence.start()
+
     def run(self) -> None:
         """Do what has a time, again and again."""
         self.loop.call_later(RUN_S, self.run)
@@ -158,9 +187,22 @@
     def replace_jobs(self, items: list[KeyValue], revision: int) -> None:
         """Take a full reading of the jobs over."""
         self.read_board(items, revision)
+        self.follow_peers()
         self.feed_coordinator(items)
         self.check_leader()
 
+    def follow_peers(self) -> None:
+        """Connect to the entries that are on the board."""
+        peers = {
+            name: record.address
+            for name, record in self.board.entries.items()
+            if name != self.settings.entry.name
+        }
+        if peers != self.relay.peers:
+            self.events.note("peers.changed", peers=sorted(peers))
+            self.relay.set_peers(peers)
+            self.links.connect(set(peers.values()))
+
     def read_board(self, items: list[KeyValue], revision: int) -> None:
         """Put a full reading on the board."""
         for fault in self.board.replace(items, revision, self.loop.clock()):
@@ -175,6 +217,7 @@
             except FieldError as error:
                 self.events.note("board.unreadable", reason=str(error))
         self.board.revision = max(self.board.revision, revision)
+        self.follow_peers()
         self.feed_coordinator(items)
         self.check_leader()
 
@@ -382,9 +425,17 @@
             self.manifest and self.board.filled and not self.draining and fresh
         )
 
+    def is_behind(self) -> bool:
+        """Return whether the jobs are not followed at present."""
+        age_s = self.loop.clock() - self.job_feed.answered_s
+        limit_s = self.settings.jobs.watch_ms / 1000 + WATCH_SLACK_S
+        return bool(self.job_feed.failures) or age_s > limit_s
+
     def drain(self) -> None:
         """Send callers elsewhere and hand the term over."""
         self.draining = True
+        if self.presence:
+            self.presence.stop()
         self.events.note("entry.drain")
         if self.election.term:
             self.election.resign("the entry stops")
--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -7,6 +7,7 @@
 CANCEL = PREFIX + "cancel/"
 WAVE = PREFIX + "wave/"
 FLEET = PREFIX + "fleet"
+ENTRY = PREFIX + "entry/"
 
 
 def job_key(job: str) -> str:
@@ -24,6 +25,11 @@
     return CANCEL + job
 
 
+def entry_key(name: str) -> str:
+    """Return the key of an entry's address."""
+    return ENTRY + name
+
+
 def wave_key(wave: int) -> str:
     """Return the key of a wave's progress."""
     return f"{WAVE}{wave}"
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -358,6 +358,17 @@
     turns: tuple[tuple[str, int, int], ...] = ()
 
 
+class EntryRecord(NamedTuple):
+    """Where an entry is, for the others.
+
+    :ivar address: ``host:port`` of its answers to peers.
+    :ivar data_centre: where it runs.
+    """
+
+    address: str
+    data_centre: str
+
+
 def task_name(job: str, occurrence: int, step: int, index: int) -> str:
     """Return the name of a task on workers."""
     return f"{job}.{occurrence}.{step}.{index}"
--- /dev/null
+++ b/cyclamenscale/jobs/presence.py
@@ -0,0 +1,99 @@
+"""Tells the other entries where this one is.
+
+The record lies under a lease of its own, so that it goes with the process.
+"""
+
+from concurrent.futures import Future
+
+from cyclamenscale.jobs.keys import entry_key
+from cyclamenscale.jobs.model import EntryRecord
+from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.store.port import Put
+from cyclamenscale.util.codec import encode_record
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import Loop
+
+#: Lease of the record, and time between its renewals. Peers notice a silent
+#: entry by themselves; the lease only clears up.
+TTL_MS = 10000
+RENEW_S = 3.0
+
+#: Pause after a call that failed.
+RETRY_S = 1.0
+
+
+class Presence:
+    """Keeps one record in the store while the entry runs.
+
+    :param loop: timers.
+    :param store: the store.
+    :param name: name of this entry.
+    :param record: where it is.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: StoreCalls,
+        events: EventLog,
+        name: str,
+        record: EntryRecord,
+    ):
+        """Keep the parts; :meth:`start` begins."""
+        self.loop = loop
+        self.store = store
+        self.events = events
+        self.name = name
+        self.record = record
+        self.lease = 0
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begin with a new lease."""
+        if not self.stopped:
+            granted = self.store.grant_lease(TTL_MS)
+            granted.add_done_callback(self.on_granted)
+
+    def stop(self) -> None:
+        """Take the record out of the store."""
+        self.stopped = True
+        if self.lease:
+            ended = self.store.end_lease(self.lease)
+            ended.add_done_callback(self.note_failure)
+
+    def on_granted(self, done: Future) -> None:
+        """Write the record under the new lease."""
+        if self.note_failure(done):
+            self.loop.call_later(RETRY_S, self.start)
+            return
+        self.lease = done.result()
+        put = Put(entry_key(self.name), encode_record(self.record), self.lease)
+        self.store.txn([], [put]).add_done_callback(self.on_written)
+
+    def on_written(self, done: Future) -> None:
+        """Renew the lease from now on."""
+        if self.note_failure(done):
+            self.loop.call_later(RETRY_S, self.start)
+        else:
+            self.loop.call_later(RENEW_S, self.renew)
+
+    def renew(self) -> None:
+        """Renew the lease."""
+        if not self.stopped:
+            self.store.keep_lease(self.lease).add_done_callback(self.on_kept)
+
+    def on_kept(self, done: Future) -> None:
+        """Begin anew after a lease that has ended."""
+        if self.note_failure(done):
+            self.loop.call_later(RETRY_S, self.renew)
+        elif done.result():
+            self.loop.call_later(RENEW_S, self.renew)
+        else:
+            self.start()
+
+    def note_failure(self, done: Future) -> bool:
+        """Log a call that failed; return whether it did."""
+        error = done.exception()
+        if error:
+            self.events.note("presence.failed", reason=str(error))
+        return error is not None
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -13,6 +13,7 @@
 from cyclamenscale.jobs.calls import JobCalls
 from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.entry import Decoders, JobEntry
+from cyclamenscale.jobs.relay import Answerer
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.platform import decode, names
 from cyclamenscale.platform.front import JobFront
@@ -25,6 +26,7 @@
 from cyclamenscale.util.http_client import HttpClient
 from cyclamenscale.util.log import set_up
 from cyclamenscale.util.loop import Loop
+from cyclamenscale.util.peer_calls import PeerCalls
 
 #: Variable with the path of the settings file.
 SETTINGS_VARIABLE = "CYCLAMENSCALE_SETTINGS"
@@ -85,11 +87,16 @@
             self.events,
             self.metrics,
             Random(os.urandom(8)),
+            PeerCalls(self.loop, settings.entry.peers_address),
+        )
+        calls = JobCalls(self.entry)
+        self.entry.answerer = Answerer(
+            self.loop, self.entry.acceptance.create_here, calls.state_here
         )
         self.terminated = Event()
         self.front = self.server(
             settings.entry.callers_address,
-            JobFront(JobCalls(self.entry), self.loop),
+            JobFront(calls, self.loop),
             "callers",
             CALLER_THREADS,
         )
--- a/cyclamenscale/util/loop.py
+++ b/cyclamenscale/util/loop.py
@@ -89,6 +89,14 @@
         """Run a call in the loop's next turn; the loop's thread only."""
         self.soon.append(run)
 
+    def watch(self, fd: int, ready: Callable[[int], None]) -> None:
+        """Call a function when a descriptor can be read."""
+        self.selector.register(fd, selectors.EVENT_READ, ready)
+
+    def unwatch(self, fd: int) -> None:
+        """Forget a descriptor."""
+        self.selector.unregister(fd)
+
     def submit(self, run: Callable[[], Any]) -> Future:
         """Run a call in the loop's thread, from any thread.
 
@@ -105,7 +113,7 @@
                 outcome.set_exception(error)
                 return
             if isinstance(found, Future):
-                found.add_done_callback(lambda done: copy(done, outcome))
+                pass_on(found, outcome)
             else:
                 outcome.set_result(found)
 
@@ -169,8 +177,13 @@
             logger.exception("a call of the event loop failed")
 
 
+def pass_on(call: Future, outcome: Future) -> None:
+    """Pass the outcome of a future on to another once it is known."""
+    call.add_done_callback(lambda done: copy(done, outcome))
+
+
 def copy(done: Future, outcome: Future) -> None:
-    """Pass the outcome of one future on to another."""
+    """Pass the outcome of a settled future on to another."""
     error = done.exception()
     if error is not None:
         outcome.set_exception(error)
--- /dev/null
+++ b/test/jobs/test_relay.py
@@ -0,0 +1,175 @@
+"""Tests of what entries ask each other while the store turns some away."""
+
+from concurrent.futures import Future
+from random import Random
+
+import pytest
+
+from cyclamenscale.errors import (
+    CallNotSentError,
+    CallUnansweredError,
+    NoJobError,
+    NotAcceptedNowError,
+    UnknownOutcomeError,
+)
+from cyclamenscale.jobs.acceptance import Acceptance
+from cyclamenscale.jobs.relay import PAUSE_S, Answerer, Relay
+from cyclamenscale.util.events import EventLog
+from test.jobs.test_acceptance import FakeLoop
+from test.jobs.world import FakeStore, settled
+
+KEY = "cyclamen/job/j1"
+
+
+class Peers:
+    """Other entries, each with an acceptance of its own.
+
+    :ivar modes: ``up``, ``gone`` (not connected) or ``silent`` by name.
+    """
+
+    def __init__(self, *names):
+        """Start with peers that are up."""
+        self.loop = FakeLoop()
+        self.events = EventLog("e1", -1, self.loop.clock)
+        self.modes = dict.fromkeys(names, "up")
+        self.stores = {name: FakeStore() for name in names}
+        self.states = {}
+        self.asked = []
+        self.relay = Relay(self.loop, self, self.events, Random(1))
+        self.relay.set_peers({name: name for name in names})
+        self.own_store = FakeStore()
+        self.acceptance = Acceptance(
+            self.loop, self.own_store, self.events, self.relay
+        )
+
+    def ask(self, address, question, timeout_s):
+        """Carry a question to a peer."""
+        self.asked.append(address)
+        if self.modes[address] == "gone":
+            return settled(error=CallNotSentError("gone"))
+        if self.modes[address] == "silent":
+            return settled(error=CallUnansweredError("silent"))
+        acceptance = Acceptance(self.loop, self.stores[address], self.events)
+        answerer = Answerer(self.loop, acceptance.create_here, self.state)
+        answer = answerer.take(question)
+        self.loop.advance(0.0)
+        return answer
+
+    def state(self, queue, job):
+        """Return a state that a peer knows."""
+        if job not in self.states:
+            return settled(error=NoJobError(job))
+        return settled(self.states[job])
+
+    def create(self, wait_s=2.0) -> Future:
+        """Accept a job while the store turns this entry away."""
+        end_s = self.loop.clock() + wait_s
+        outcome = self.acceptance.create(KEY, b"job", end_s)
+        self.loop.advance(0.0)
+        return outcome
+
+
+def test_a_job_that_the_store_refuses_is_stored_by_a_peer():
+    """Guards against refusals while another entry could accept.
+
+    Pattern: the store turns some entries away and serves the others.
+    """
+    peers = Peers("e2", "e3")
+    peers.own_store.mode = "down"
+    stored = peers.create().result(0)
+    assert stored.revision
+    assert stored.value == b"job"
+    assert sum(KEY in store.items for store in peers.stores.values()) == 1
+
+
+def test_a_record_that_is_there_is_returned_by_the_peer():
+    """Guards against a second job of an id that came again elsewhere."""
+    peers = Peers("e2")
+    peers.own_store.mode = "down"
+    peers.stores["e2"].put(KEY, b"first")
+    stored = peers.create().result(0)
+    assert (stored.revision, stored.value) == (0, b"first")
+
+
+def test_the_next_peer_is_asked_if_one_is_gone():
+    """Guards against a refusal because one peer has just died."""
+    peers = Peers("e2", "e3", "e4")
+    peers.own_store.mode = "down"
+    peers.modes[peers.relay.order()[0]] = "gone"
+    for _ in range(4):
+        assert peers.create().result(0)
+
+
+def test_a_store_that_is_away_for_all_is_told_as_not_accepted():
+    """Guards against an unknown outcome where nothing can be stored."""
+    peers = Peers("e2", "e3")
+    peers.own_store.mode = "down"
+    for store in peers.stores.values():
+        store.mode = "down"
+    with pytest.raises(NotAcceptedNowError):
+        peers.create().result(0)
+
+
+def test_peers_are_not_asked_for_each_job_while_all_are_away():
+    """Guards against a storm of questions during an outage."""
+    peers = Peers("e2", "e3")
+    peers.own_store.mode = "down"
+    for store in peers.stores.values():
+        store.mode = "down"
+    for _ in range(10):
+        assert peers.create().exception(0)
+    asked = len(peers.asked)
+    assert asked <= 2
+    peers.loop.advance(PAUSE_S)
+    for store in peers.stores.values():
+        store.mode = "up"
+    assert peers.create().result(0)
+
+
+def test_a_silent_peer_may_have_stored_the_job():
+    """Guards against "not accepted" for a job that a peer has stored."""
+    peers = Peers("e2")
+    peers.own_store.mode = "down"
+    peers.modes["e2"] = "silent"
+    outcome = peers.create(wait_s=0.4)
+    peers.loop.advance(1.0)
+    with pytest.raises(UnknownOutcomeError):
+        outcome.result(0)
+
+
+def test_a_peer_never_asks_others():
+    """Guards against questions that go round among the entries."""
+    peers = Peers("e2")
+    acceptance = Acceptance(
+        peers.loop, peers.own_store, peers.events, peers.relay
+    )
+    peers.own_store.mode = "down"
+    outcome = acceptance.create_here(KEY, b"job", peers.loop.clock() + 1)
+    peers.loop.advance(0.1)
+    assert isinstance(outcome.exception(0), NotAcceptedNowError)
+    assert not peers.asked
+
+
+def test_a_peer_creates_only_jobs_and_cancellations():
+    """Guards against a peer that overwrites the leader's key."""
+    peers = Peers("e2")
+    outcome = peers.relay.create("cyclamen/leader", b"e1", 99.0)
+    assert isinstance(outcome.exception(0), NotAcceptedNowError)
+    assert not peers.stores["e2"].items
+
+
+def test_a_state_comes_from_a_peer():
+    """Guards against states that are behind while the store is away."""
+    peers = Peers("e2")
+    peers.states["j1"] = "done"
+    assert peers.relay.state("replan", "j1").result(0) == "done"
+    with pytest.raises(NoJobError):
+        peers.relay.state("replan", "j2").result(0)
+
+
+def test_an_unreadable_question_is_refused():
+    """Guards against a fault of the answering entry."""
+    peers = Peers("e2")
+    answerer = Answerer(peers.loop, None, None)
+    frame = answerer.take(b"\x00garbage").result(0)
+    assert b"refused" in frame
--- a/test/platform/standin.py
+++ b/test/platform/standin.py
@@ -74,12 +74,17 @@
     :ivar mode: ``up``, ``refuse`` (503), ``lost`` (writes are done and not
         answered).
     :ivar task_s: how long tasks run.
+    :ivar side_door: another address of the store, as an entry sees it that
+        the store may turn away.
+    :ivar side_refuses: whether it answers 503.
     """
 
     def __init__(self, workers: int = 2, task_s: float = 0.1):
         """Register workers, all at this server's address."""
         self.state = StoreState()
         self.server = HttpServer(self.handle, "127.0.0.1:0", 48)
+        self.side_door = HttpServer(self.handle_side, "127.0.0.1:0", 24)
+        self.side_refuses = False
         self.mode = "up"
         self.task_s = task_s
         # Guards workers.
@@ -120,6 +125,12 @@
         }
         self.write(f"servers/{name}", body)
 
+    def handle_side(self, request: Request) -> Response:
+        """Serve one call at the other address."""
+        if self.side_refuses:
+            return reply({}, 503)
+        return self.handle(request)
+
     def handle(self, request: Request) -> Response:
         """Serve one call."""
         path = request.path
--- a/test/platform/test_program.py
+++ b/test/platform/test_program.py
@@ -21,18 +21,19 @@
 
 JOB = {"spec": "x", "steps": [{"count": 2, "cpu": 1000, "mem-mb": 10}]}
 ID = "00000000000000a1"
+OTHER = "00000000000000b2"
 PATIENCE_S = 20.0
 
 
 class Entry:
     """A job entry in this process, with its servers."""
 
-    def __init__(self, platform, name="e1"):
+    def __init__(self, platform, name="e1", store=""):
         """Start the loop and the servers."""
         address = platform.server.address
         settings = Settings(
             entry=EntrySettings(name=name),
-            store=StoreSettings(address=address),
+            store=StoreSettings(address=store or address),
             platform=PlatformSettings(address=address),
             jobs=JobsSettings(look_s=0.1, watch_ms=300, lease_ttl_ms=1000),
         )
@@ -75,6 +76,7 @@
         """Stop the servers and the loop."""
         self.program.front.stop(0.5)
         self.program.ready.stop(0.5)
+        self.program.loop.submit(self.program.entry.links.close)
         self.program.loop.stop()
         self.thread.join(5.0)
 
@@ -83,7 +85,9 @@
 def platform():
     standin = PlatformStandIn()
     standin.server.start()
+    standin.side_door.start()
     yield standin
+    standin.side_door.stop()
     standin.server.stop()
 
 
@@ -95,6 +99,30 @@
     found.stop()
 
 
+@pytest.fixture
+def turned_away(platform, entry):
+    """Return a second entry that the store turns away."""
+    found = Entry(platform, "e2", platform.side_door.address)
+    found.wait_for(found.program.entry.is_ready)
+    found.wait_for(lambda: found.program.entry.relay.peers)
+    entry.wait_for(lambda: entry.program.entry.relay.peers)
+    links = found.program.entry.links
+
+    def reach():
+        return [links.ask(address, b"", 1.0) for address in list(links.asked)]
+
+    def reached():
+        # An unreadable question is answered once the link works.
+        outcomes.extend(reach())
+        return any(o.done() and not o.exception() for o in outcomes)
+
+    outcomes = []
+    found.wait_for(reached)
+    platform.side_refuses = True
+    yield found
+    found.stop()
+
+
 def posting(entry, job=ID):
     """Return a job's posting, if there is one."""
     return entry.program.entry.board.postings.get(job)
@@ -263,3 +291,19 @@
                 for kind, fields in noted
             )
         )
+
+
+def test_an_entry_that_the_store_turns_away_serves_its_callers(
+    entry, turned_away
+):
+    """Guards against refusals, and states that are behind, at one entry.
+
+    Pattern: the store turns some entries away and serves the others.
+    """
+    turned_away.wait_for(turned_away.program.entry.is_behind)
+    assert turned_away.call("POST", f"/replan/{ID}", JOB)[0] == 200
+    entry.wait_for(lambda: posting(entry) and posting(entry).state == "done")
+    status, body = turned_away.call("GET", f"/replan/{ID}")
+    assert (status, json.decode(body)) == (200, {"state": "completed"})
+    assert turned_away.call("GET", f"/replan/{OTHER}")[0] == 410
+    assert turned_away.call("DELETE", f"/replan/{ID}")[0] == 200
