Number the occurrences of timed jobs that are finished

Cause, found by writing the tests that docs/platform.md listed as missing: an occurrence opened at a takeover was not replaced by the stored progress, so that a finished one started again (TWICE); the stored count of finished occurrences says nothing of which, so that one that ended before an earlier one was opened anew; and a timed job counted as late from its acceptance, so that it came after all others. Progress now stores the first number that is not finished and those above it that are; the objective counts from the occurrence's own time.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -96,7 +96,7 @@
         if restored:
             job.unseen_until_s = state.takeover_end_s
         state.jobs[record.id] = job
-        job.open_due(state.wall() * 1000)
+        job.open_due(state.wall() * 1000, state.clock())
         state.touch()
 
     def restore_progress(
@@ -105,7 +105,9 @@
         """Take stored progress over at the beginning of a term."""
         found = self.state.jobs.get(job)
         if found:
-            found.restore(record, revision)
+            now_s = self.state.clock()
+            found.restore(record, revision, now_s)
+            found.open_due(self.state.wall() * 1000, now_s)
 
     def cancel_job(self, job: str) -> None:
         """Stop a job that its caller has cancelled."""
@@ -181,7 +183,7 @@
         self.leave_draining()
         wall_ms = state.wall() * 1000
         for job in state.jobs.values():
-            job.open_due(wall_ms)
+            job.open_due(wall_ms, now_s)
             if job.cancelled and job.state not in FINAL:
                 self.looks.clear_cancelled(job)
         self.ledger.drop_idle()
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -132,15 +132,15 @@
     """One occurrence of a job.
 
     :ivar number: its number, from 0.
-    :ivar due_ms: wall-clock time from which it may start, 0 for at once.
+    :ivar opened_s: when it became due, as this coordinator saw it.
     """
 
-    __slots__ = ("due_ms", "number", "steps")
+    __slots__ = ("number", "opened_s", "steps")
 
-    def __init__(self, job: "Job", number: int, due_ms: int):
+    def __init__(self, job: "Job", number: int, opened_s: float):
         """Make the states of all steps."""
         self.number = number
-        self.due_ms = due_ms
+        self.opened_s = opened_s
         self.steps = [
             StepState(job, number, index, spec)
             for index, spec in enumerate(job.record.spec.steps)
@@ -179,11 +179,13 @@
         self.cancelled = False
         self.highest_run = 0
         self.finished = 0
+        self.finished_early: set[int] = set()
         self.occurrences: dict[int, Occurrence] = {}
         self.stored = ProgressRecord()
         self.stored_revision = 0
         self.dirty = False
-        #: Whether a run of it may be on a worker nobody has looked at.
+        #: Until when a run of it may be on a worker that nobody has looked
+        #: at, 0 if this term accepted it.
         self.unseen_until_s = 0.0
         self.chain_ms = longest_chain_ms(record.spec.steps)
         #: Estimated processor seconds of one occurrence.
@@ -194,8 +196,7 @@
         timing = record.spec.timing
         self.times = timing.times if timing else 1
         if not timing:
-            self.occurrences[0] = Occurrence(self, 0, 0)
-        self.due_s = seen_s + self.objective_s
+            self.occurrences[0] = Occurrence(self, 0, seen_s)
 
     @property
     def lasting(self) -> bool:
@@ -208,50 +209,60 @@
         chain_ms = self.chain_ms * self.queue.stretch
         return (chain_ms + self.queue.target_ms) / 1000
 
+    @property
+    def due_s(self) -> float:
+        """Return when its earliest open occurrence should be done."""
+        opened_s = min(
+            (found.opened_s for found in self.occurrences.values()),
+            default=self.seen_s,
+        )
+        return opened_s + self.objective_s
+
     @property
     def ended(self) -> bool:
         """Return whether nothing of it may start any more."""
         return self.cancelled or self.state in FINAL
 
-    def restore(self, record: ProgressRecord, revision: int) -> None:
+    def restore(
+        self, record: ProgressRecord, revision: int, now_s: float
+    ) -> None:
         """Take over stored progress after a change of coordinator."""
         self.stored = record
         self.stored_revision = revision
         self.state = record.state
         self.highest_run = record.highest_run + TAKEOVER_RUN_GAP
         self.finished = record.finished
+        self.finished_early = set(record.finished_early)
+        timed = bool(self.record.spec.timing)
+        if timed or self.finished:
+            self.occurrences.clear()
         for number, steps in record.occurrences:
-            occurrence = Occurrence(self, number, self.due_ms(number))
+            opened_s = now_s if timed else self.seen_s
+            occurrence = Occurrence(self, number, opened_s)
             self.occurrences[number] = occurrence
             for step, stored in zip(occurrence.steps, steps, strict=True):
                 restore_step(step, stored)
-        if not self.record.spec.timing and self.finished:
-            self.occurrences.clear()
 
     def due_ms(self, number: int) -> int:
-        """Return the wall-clock time of an occurrence, 0 for at once."""
+        """Return the wall-clock time of an occurrence of a timed job."""
         timing = self.record.spec.timing
-        if not timing:
-            return 0
         return timing.first_ms + number * timing.interval_ms
 
-    def open_due(self, wall_ms: float) -> bool:
+    def open_due(self, wall_ms: float, now_s: float) -> None:
         """Open the occurrences that are due.
 
         :param wall_ms: wall-clock time.
-        :returns: whether one was opened.
+        :param now_s: time of the coordinator's clock.
         """
         timing = self.record.spec.timing
         if not timing or self.ended:
-            return False
-        opened = False
-        number = self.finished + len(self.occurrences)
-        while number < timing.times and self.due_ms(number) <= wall_ms:
-            due_ms = self.due_ms(number)
-            self.occurrences[number] = Occurrence(self, number, due_ms)
-            opened = True
-            number += 1
-        return opened
+            return
+        for number in range(self.finished, timing.times):
+            if self.due_ms(number) > wall_ms:
+                return
+            known = number in self.occurrences
+            if not known and number not in self.finished_early:
+                self.occurrences[number] = Occurrence(self, number, now_s)
 
     def open_steps(self) -> list[StepState]:
         """Return the steps of all occurrences that may run now."""
@@ -352,7 +363,10 @@
         if not occurrence.done:
             return
         del self.occurrences[step.occurrence]
-        self.finished += 1
+        self.finished_early.add(step.occurrence)
+        while self.finished in self.finished_early:
+            self.finished_early.remove(self.finished)
+            self.finished += 1
         if self.finished >= self.times:
             self.state = DONE
 
@@ -376,7 +390,11 @@
                 for number, found in self.occurrences.items()
             )
         return ProgressRecord(
-            self.state, self.highest_run, occurrences, self.finished
+            self.state,
+            self.highest_run,
+            occurrences,
+            self.finished,
+            tuple(sorted(self.finished_early)),
         )
 
 
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -204,13 +204,15 @@
     :ivar highest_run: highest run number given out so far.
     :ivar occurrences: ``(number, progress of each step)`` of those that
         have begun and are not finished.
-    :ivar finished: number of occurrences finished.
+    :ivar finished: number of the first occurrence that is not finished.
+    :ivar finished_early: numbers above that of finished occurrences.
     """
 
     state: str = QUEUED
     highest_run: int = 0
     occurrences: tuple[tuple[int, tuple[StepProgress, ...]], ...] = ()
     finished: int = 0
+    finished_early: tuple[int, ...] = ()
 
 
 class WorkerEntry(NamedTuple):
--- /dev/null
+++ b/test/jobs/test_job_kinds.py
@@ -0,0 +1,177 @@
+"""Tests of kinds of jobs: racks, checkpoints, times, labels and copies."""
+
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.jobs.job import Job
+from cyclamenscale.jobs.keys import job_key
+from cyclamenscale.jobs.model import (
+    DONE,
+    JobRecord,
+    JobSpec,
+    ProgressRecord,
+    Step,
+    Timing,
+)
+from cyclamenscale.util.codec import decode_record, encode_record
+from test.jobs.world import QUEUE, World
+
+NEED = Resources(16.0, 16.0)
+
+
+def racks(world, task=""):
+    """Return the racks on which tasks run."""
+    workers = world.workers.workers
+    return {workers[w].entry.rack for _, _, w in world.running(task)}
+
+
+def test_a_gang_that_is_faster_on_one_rack_gets_one():
+    """Guards against a gang spread over racks while one has room."""
+    world = World(workers=6)
+    world.lead()
+    world.run()
+    # A rack holds two workers of 64 processors each: eight such tasks.
+    step = Step(6, NEED, gang=True, same_rack=True)
+    world.submit("j1", step)
+    world.run()
+    assert len(world.running("j1")) == 6
+    assert len(racks(world, "j1")) == 1
+
+
+def test_a_gang_that_no_rack_holds_is_spread():
+    """Guards against a gang that waits for ever for a rack."""
+    world = World(workers=6)
+    world.lead()
+    world.run()
+    world.submit("j1", Step(12, NEED, gang=True, same_rack=True))
+    world.run()
+    assert len(world.running("j1")) == 12
+    assert len(racks(world, "j1")) > 1
+
+
+def test_tasks_go_to_the_rack_of_their_data_first():
+    """Guards against tasks far from their data while there is room near."""
+    world = World(workers=6)
+    world.lead()
+    world.run()
+    near = world.workers.workers["pool-a-4"].entry.rack
+    world.submit("j1", Step(8, NEED, rack=near))
+    world.run()
+    assert racks(world, "j1") == {near}
+    world.submit("j2", Step(2, NEED, rack=near))
+    world.run()
+    assert len(world.running("j2")) == 2
+
+
+def test_a_task_starts_again_from_its_checkpoint():
+    """Guards against work done twice although it was saved."""
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.submit("j1", Step(1, NEED, checkpoints=True))
+    world.run()
+    starts = []
+    world.on_start = starts.append
+    worker = world.workers.workers["pool-a-0"]
+    worker.end(("j1.0.0.0", 1), "lapsed", "saved-7")
+    world.run()
+    assert [order.checkpoint for order in starts] == ["saved-7"]
+
+
+def test_a_checkpoint_survives_a_change_of_coordinator():
+    """Guards against saved work that only the old coordinator knew of."""
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.submit("j1", Step(2, NEED, checkpoints=True))
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    worker.end(("j1.0.0.0", 1), "failed", "saved-7")
+    world.run()
+    starts = []
+    world.on_start = starts.append
+    world.take_over("e2")
+    worker.end(("j1.0.0.0", max(n for _, n in worker.runs)), "lapsed")
+    world.run(1.0)
+    assert {order.checkpoint for order in starts} == {"saved-7"}
+    assert not world.broken
+
+
+def timed(world, first_in_s, interval_s, times):
+    """Accept a job with occurrences; times are from now."""
+    now_ms = int(world.clock() * 1000)
+    timing = Timing(
+        now_ms + int(first_in_s * 1000), int(interval_s * 1000), times
+    )
+    steps = (Step(1, NEED),)
+    record = JobRecord("j1", QUEUE, 1, now_ms, JobSpec("x", steps, timing))
+    world.steps["j1"] = steps
+    revision = world.store.put(job_key("j1"), encode_record(record))
+    world.coordinator.add_job(record, revision)
+    return record
+
+
+def test_occurrences_start_when_they_are_due():
+    """Guards against an occurrence that starts early, or never."""
+    world = World()
+    world.lead()
+    world.run()
+    timed(world, 1.0, 2.0, 2)
+    world.run(0.9)
+    assert not world.running()
+    world.run(0.3)
+    assert [task for task, _, _ in world.running()] == ["j1.0.0.0"]
+    world.run(2.0)
+    # They may overlap.
+    tasks = sorted(task for task, _, _ in world.running())
+    assert tasks == ["j1.0.0.0", "j1.1.0.0"]
+    world.finish("j1")
+    world.run()
+    item = world.store.items["cyclamen/progress/j1"]
+    assert decode_record(item.value, ProgressRecord, "j1").state == DONE
+
+
+def test_finished_occurrences_do_not_start_again_after_a_takeover():
+    """Guards against an occurrence that a new coordinator opens twice."""
+    world = World()
+    world.lead()
+    world.run()
+    timed(world, 0.1, 0.5, 3)
+    world.run(0.3)
+    world.finish("j1.0")
+    world.run(0.2)
+    world.take_over("e2")
+    world.run(4.5)
+    tasks = sorted(task for task, _, _ in world.running())
+    assert tasks == ["j1.1.0.0", "j1.2.0.0"]
+    assert not world.broken
+
+
+def test_an_occurrence_finished_before_an_earlier_one_stays_so():
+    """Guards against a count of occurrences taken for their numbers.
+
+    Occurrences overlap, and a later one may end first.
+    """
+    world = World()
+    world.lead()
+    world.run()
+    record = timed(world, 0.1, 0.3, 3)
+    world.run(0.7)
+    world.finish("j1.1")
+    world.run(0.3)
+    world.take_over("e2")
+    world.run(4.0)
+    tasks = sorted(task for task, _, _ in world.running())
+    assert tasks == ["j1.0.0.0", "j1.2.0.0"]
+    assert not world.broken
+    job = Job(record, QUEUE, 0.0)
+    assert job.times == 3
+
+
+def test_an_occurrence_is_due_from_its_own_time():
+    """Guards against timed jobs that come last because they seem late."""
+    world = World()
+    world.lead()
+    world.run()
+    timed(world, 60.0, 30.0, 2)
+    world.run(60.2)
+    job = world.coordinator.state.jobs["j1"]
+    assert 0 < job.due_s - world.clock() <= job.objective_s
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -247,6 +247,7 @@
                 return OrderAnswer(False, "late", clock_ms)
             found.deadline_ms = max(found.deadline_ms, order.deadline_ms)
             self.world.check_start(found, order)
+            self.world.on_start(order)
             found.runs[key] = self.world.clock()
             return OrderAnswer(True, "", clock_ms)
 
@@ -378,6 +379,8 @@
         self.at_work_share: dict[str, float] = {}
         self.steps: dict[str, tuple[Step, ...]] = {}
         self.lease_proved = True
+        #: Called with each order that a worker carries out as a start.
+        self.on_start = lambda order: None
         self.settings = Settings()
         self.events = EventLog("e1", -1, self.clock)
         self.manifest = Manifest(
