End a gang by the end of any member, and restart it whole

Members of a gang end done together and one such end stands for all, but members whose end was lost with their worker were started again, alone, for ever. Members whose partner was refused or lost waited until their time was over. A gang's failures were counted for each member. After a takeover runs of jobs that have ended counted as taking no room. Ruled out for GANG: late orders (the members that waited had been accepted). Tests: four in test/jobs/test_coordinator.py, failed before.

--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -332,6 +332,11 @@
         lasting = task.step.spec.lasting
         if how == END_DONE and not lasting:
             self.mark_done(task)
+            if task.step.spec.gang:
+                # Its members end done together, and one end tells of all.
+                for member in task.step.tasks:
+                    if not member.done:
+                        self.mark_done(member)
         elif how == END_FAILED:
             self.note_failure(task, run)
         if not task.done and not task.runs:
@@ -343,7 +348,11 @@
             return
         task.failed_runs.add(run)
         self.dirty = True
-        if len(task.failed_runs) >= self.queue.attempts:
+        failed = task.failed_runs
+        if task.step.spec.gang:
+            # A gang fails as a whole, whichever member it was.
+            failed = set().union(*(t.failed_runs for t in task.step.tasks))
+        if len(failed) >= self.queue.attempts:
             self.state = FAILED
 
     def wait(self, task: Task) -> None:
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -321,6 +321,8 @@
             task.avoid.add(worker.id)
         before = job.state
         job.note_end(task, run.number, how, checkpoint)
+        if how != END_DONE:
+            self.orders.stop_gang(run)
         if task.done or job.ended:
             for other in list(task.runs):
                 self.orders.stop(other, "the task is done or not wanted")
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -181,8 +181,21 @@
         run.worker.remove(run)
         if task and not task.runs and not task.done:
             task.job.wait(task)
+        self.stop_gang(run)
         self.state.touch()
 
+    def stop_gang(self, run: Run) -> None:
+        """Stop the other members of a gang's run that can't take place.
+
+        They would wait for the missing one until their time is over.
+        """
+        if not run.task or not run.task.step.spec.gang:
+            return
+        for task in run.task.step.tasks:
+            for member in list(task.runs):
+                if member.number == run.number and member is not run:
+                    self.stop(member, "a member of its gang is missing")
+
     def stop(self, run: Run, why: str) -> None:
         """Stop a run; it counts until its end is listed."""
         if run.phase == STOPPING:
@@ -198,6 +211,7 @@
         )
         self.state.metrics.incr("jobs.stops")
         self.send_stop(run)
+        self.stop_gang(run)
 
     def send_stop(self, run: Run) -> None:
         """Send a stop, the first time or again."""
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -220,7 +220,13 @@
         self.used = Resources(processors, memory, accelerators)
 
     def has_room(self, need: Resources, fills: bool) -> bool:
-        """Return whether a task fits beside the runs."""
+        """Return whether a task fits beside the runs.
+
+        What a run of an unknown job takes is not known, so that nothing
+        fits before it has ended.
+        """
+        if any(run.task is None for run in self.runs.values()):
+            return False
         capacity = self.entry.capacity
         used = self.used
         return (
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -1,5 +1,7 @@
 """Tests of placement, ends, cancellation and takeover."""
 
+from concurrent.futures import Future
+
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import DONE, FAILED, ProgressRecord, Step
 from cyclamenscale.jobs.ports import HoldOrder, StartOrder
@@ -305,6 +307,87 @@
     assert len({run for _, run, _ in running}) == 1
 
 
+def gang_world(count=4):
+    """Return a world with a gang at work on two workers."""
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    half = Resources(CAPACITY.processors / 2, 1.0)
+    world.submit("j1", Step(count, half, gang=True))
+    world.run()
+    assert len(world.running("j1")) == count
+    return world
+
+
+def test_one_end_done_of_a_gang_tells_of_all_its_members():
+    """Guards against a member that starts again, alone, for ever.
+
+    The other members' worker falls silent before it lists their ends.
+    """
+    world = gang_world()
+    (first, _, worker), *_ = world.running("j1")
+    for other in world.workers.workers.values():
+        if other.entry.id != worker:
+            other.mode = "dark"
+    world.finish(first)
+    world.run(5.0)
+    assert stored(world, "j1").state == DONE
+    assert not world.broken
+
+
+def test_a_gang_fails_as_a_whole():
+    """Guards against a gang that gets its attempts for each member."""
+    world = gang_world()
+    for index in range(QUEUE.attempts):
+        world.finish(f"j1.0.0.{index}", "failed")
+        world.run(0.5)
+    assert stored(world, "j1").state == FAILED
+    assert not world.running()
+
+
+def test_members_do_not_wait_for_one_that_was_not_started():
+    """Guards against members that wait for a missing one until it is late.
+
+    One start is refused; the others have been accepted.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    refused = world.workers.workers["pool-a-1"]
+    refused.stopped["j1.0.0.3"] = 9
+    half = Resources(CAPACITY.processors / 2, 1.0)
+    world.submit("j1", Step(4, half, gang=True))
+    world.run(0.05)
+    world.run(0.5)
+    runs = {run for _, run, _ in world.running("j1")}
+    assert len(world.running("j1")) == 4
+    assert len(runs) == 1
+    assert not world.broken
+
+
+def test_nothing_starts_beside_a_run_whose_job_is_not_known():
+    """Guards against a worker that takes more than it has.
+
+    After a takeover a run of an ended job still takes room on its worker.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    worker.runs[("gone.0.0.0", 1)] = world.clock()
+    worker.deadline_ms = worker.now_ms() + 60000
+    stop = world.workers.stop
+    world.workers.stop = lambda *args: Future()
+    world.run(0.1)
+    world.submit("j1", SMALL)
+    world.run(0.5)
+    assert not world.running("j1")
+    world.workers.stop = stop
+    worker.end(("gone.0.0.0", 1), "stopped")
+    world.run(0.5)
+    assert len(world.running("j1")) == 2
+
+
 def test_more_than_a_worker_has_is_never_started():
     """Guards against workers over their capacity."""
     world = World(workers=1)
