Send nothing to a store that has just failed, and answer in time

One lost answer counted as a store that is away, although its watches went on answering, and was noticed after a second, 200 times the usual time. Ruled out: the peers (asked only after the first failure). Now records that wait are handed to a peer or refused when a transaction fails, a caller is answered when his time is over, a store that answers anything is not away, and a transaction gets eight times what the last ones took, 0.25 to 1 s, doubled after each that had no answer.

--- a/cyclamenscale/jobs/acceptance.py
+++ b/cyclamenscale/jobs/acceptance.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import NamedTuple, Protocol
 
@@ -66,6 +67,7 @@
     """A record to create.
 
     :ivar maybe: whether an earlier try may still be carried out.
+    :ivar asked: whether the store or a peer has it without an answer yet.
     :ivar own: whether only this entry may try.
     """
 
@@ -78,6 +80,7 @@
         self.end_s = end_s
         self.outcome: Future = Future()
         self.maybe = False
+        self.asked = False
         self.own = own
         self.tries = 0
 
@@ -89,6 +92,8 @@
     :param store: the store.
     :param events: log of what failed.
     :param fallback: asked for what the store refuses to this entry.
+    :param store_answered_s: when the store last answered any other call of
+        this entry. A store that only loses some answers is not away.
     """
 
     def __init__(
@@ -97,12 +102,14 @@
         store: StoreCalls,
         events: EventLog,
         fallback: Fallback | None = None,
+        store_answered_s: Callable[[], float] = lambda: 0.0,
     ):
         """Start with nothing waiting."""
         self.loop = loop
         self.store = store
         self.events = events
         self.fallback = fallback
+        self.store_answered_s = store_answered_s
         self.waiting: deque[Write] = deque()
         self.in_flight = 0
         self.scheduled = False
@@ -130,6 +137,8 @@
         if len(self.waiting) >= WAITING_LIMIT:
             write.outcome.set_exception(NotAcceptedNowError("overload", 1.0))
             return write.outcome
+        left_s = max(write.end_s - self.loop.clock(), 0.0)
+        self.loop.call_later(left_s, lambda: self.expire(write))
         if self.is_away():
             self.fall_back(write)
             return write.outcome
@@ -143,7 +152,8 @@
         Nothing of a record that is refused here was sent, so the refusal
         is true.
         """
-        if self.failed_s <= self.answered_s:
+        answered_s = max(self.answered_s, self.store_answered_s())
+        if self.failed_s <= answered_s:
             return False
         now_s = self.loop.clock()
         if now_s < self.probe_s or self.in_flight:
@@ -166,6 +176,8 @@
             now_s = self.loop.clock()
             while self.waiting and len(group) < WRITES_PER_TXN:
                 write = self.waiting.popleft()
+                if write.outcome.done():
+                    continue
                 if write.end_s <= now_s:
                     self.give_up(write)
                 elif write.key in group:
@@ -184,6 +196,7 @@
         self.in_flight += 1
         for write in group:
             write.tries += 1
+            write.asked = True
         answer = self.store.txn(
             [Compare(write.key, 0) for write in group],
             [Put(write.key, write.value) for write in group],
@@ -202,12 +215,11 @@
             for write in group:
                 found = result.current.get(write.key)
                 if result.succeeded:
-                    write.outcome.set_result(
-                        Stored(result.revision, write.value)
-                    )
+                    self.finish(write, Stored(result.revision, write.value))
                 elif found:
-                    write.outcome.set_result(Stored(0, found.value))
+                    self.finish(write, Stored(0, found.value))
                 else:
+                    write.asked = False
                     self.waiting.append(write)
         if self.waiting:
             self.schedule(0.0)
@@ -222,6 +234,11 @@
             self.events.note("accept.store_error", reason=str(error))
         for write in group:
             write.maybe = write.maybe or lost
+            write.asked = False
+            self.fall_back(write)
+        # What was not sent yet must not wait for the same.
+        waiting, self.waiting = self.waiting, deque()
+        for write in waiting:
             self.fall_back(write)
         self.events.note(
             "accept.store_failed",
@@ -232,15 +249,19 @@
 
     def fall_back(self, write: Write) -> None:
         """Have another entry create a record that the store refused here."""
+        if write.outcome.done():
+            return
         if write.own or not self.fallback or not self.fallback.available():
             self.repeat_later(write)
             return
+        write.asked = True
         asked = self.fallback.create(write.key, write.value, write.end_s)
 
         def answered(done: Future) -> None:
+            write.asked = False
             error = done.exception()
             if error is None:
-                write.outcome.set_result(done.result())
+                self.finish(write, done.result())
                 return
             if isinstance(error, UnknownOutcomeError):
                 write.maybe = True
@@ -261,8 +282,21 @@
         self.waiting.append(write)
         self.schedule(0.0)
 
+    def finish(self, write: Write, stored: Stored) -> None:
+        """Tell that a record is stored, unless the caller has given up."""
+        if not write.outcome.done():
+            write.outcome.set_result(stored)
+
+    def expire(self, write: Write) -> None:
+        """Answer a caller whose time is over, whatever is under way."""
+        if not write.outcome.done():
+            write.maybe = write.maybe or write.asked
+            self.give_up(write)
+
     def give_up(self, write: Write) -> None:
         """Tell that a record is not stored, or that nobody knows."""
+        if write.outcome.done():
+            return
         if write.maybe:
             write.outcome.set_exception(UnknownOutcomeError("store"))
         else:
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -117,7 +117,9 @@
         self.answerer: Answerer | None = None
         self.presence: Presence | None = None
         self.relay = Relay(loop, links, events, rng)
-        self.acceptance = Acceptance(loop, ports.store, events, self.relay)
+        self.acceptance = Acceptance(
+            loop, ports.store, events, self.relay, self.store_answered_s
+        )
         self.election = Election(
             settings,
             loop,
@@ -415,12 +417,14 @@
                 "board.removal_failed", reason=str(done.exception())
             )
 
+    def store_answered_s(self) -> float:
+        """Return when the store last answered a watch."""
+        return max(self.job_feed.answered_s, self.operator_feed.answered_s)
+
     def is_ready(self) -> bool:
         """Return whether new callers should be sent here."""
-        answered_s = max(
-            self.job_feed.answered_s, self.operator_feed.answered_s
-        )
-        fresh = self.loop.clock() - answered_s < STORE_SILENCE_S
+        silent_s = self.loop.clock() - self.store_answered_s()
+        fresh = silent_s < STORE_SILENCE_S
         return bool(
             self.manifest and self.board.filled and not self.draining and fresh
         )
--- a/cyclamenscale/platform/kv.py
+++ b/cyclamenscale/platform/kv.py
@@ -34,6 +34,12 @@
 #: Time for one call; a slow store takes about 0.25 s.
 CALL_TIMEOUT_MS = 1000
 
+#: Least time for a transaction while the store answers quickly.
+TXN_TIMEOUT_LEAST_MS = 250
+
+#: A transaction may take this many times as long as those before it.
+PATIENCE_FACTOR = 8
+
 #: Time for a renewal, which has to leave time for another.
 RENEW_TIMEOUT_MS = 600
 
@@ -44,6 +50,34 @@
 REFUSALS = (403, 429, 503)
 
 
+class Patience:
+    """How long to wait for a transaction, by the answers before it.
+
+    An answer that is lost is noticed the sooner; a store that turns slow
+    gets twice the time after each call that it did not answer.
+    """
+
+    def __init__(self):
+        """Start with the full time."""
+        self.timeout_ms = float(CALL_TIMEOUT_MS)
+
+    def note_answer(self, took_ms: float) -> None:
+        """Note a call that was answered."""
+        wanted_ms = PATIENCE_FACTOR * took_ms
+        mean_ms = 0.8 * self.timeout_ms + 0.2 * wanted_ms
+        self.set(mean_ms)
+
+    def note_silence(self) -> None:
+        """Note a call without an answer."""
+        self.set(2 * self.timeout_ms)
+
+    def set(self, timeout_ms: float) -> None:
+        """Set the time within its bounds."""
+        self.timeout_ms = min(
+            max(timeout_ms, TXN_TIMEOUT_LEAST_MS), CALL_TIMEOUT_MS
+        )
+
+
 def item(row: dict[str, Any]) -> KeyValue:
     """Decode an item or a tombstone."""
     if row.get("tombstone"):
@@ -112,6 +146,7 @@
         """Keep the address."""
         self.base = f"http://{settings.store.address}"
         self.client = client
+        self.patience = Patience()
 
     def get(self, path: str, timeout_ms: int = CALL_TIMEOUT_MS) -> Future:
         """Make a reading call."""
@@ -225,7 +260,18 @@
                 return TxnResult(False, 0, current)
             return TxnResult(True, table["revision"], {})
 
-        return then(self.post("/kv-txn", body), decode, "txn", writes=True)
+        sent_s = self.client.loop.clock()
+        call = self.post("/kv-txn", body, int(self.patience.timeout_ms))
+        call.add_done_callback(lambda done: self.learn(done, sent_s))
+        return then(call, decode, "txn", writes=True)
+
+    def learn(self, done: Future, sent_s: float) -> None:
+        """Learn from a transaction how long the next one may take."""
+        if done.exception():
+            self.patience.note_silence()
+        else:
+            took_s = self.client.loop.clock() - sent_s
+            self.patience.note_answer(took_s * 1000)
 
     def grant_lease(self, ttl_ms: int) -> Future:
         """Make a lease."""
--- a/test/jobs/test_acceptance.py
+++ b/test/jobs/test_acceptance.py
@@ -44,7 +44,13 @@
         self.loop = FakeLoop()
         self.store = FakeStore()
         events = EventLog("e1", -1, self.loop.clock)
-        self.acceptance = Acceptance(self.loop, self.store, events)
+        self.other_answer_s = 0.0
+        self.acceptance = Acceptance(
+            self.loop,
+            self.store,
+            events,
+            store_answered_s=lambda: self.other_answer_s,
+        )
 
     def create(self, key, wait_s=2.0) -> Future:
         """Create a record."""
@@ -120,3 +126,65 @@
     bench.store.mode = "up"
     bench.loop.advance(0.5)
     assert made.result(0).value == b"k0"
+
+
+def wait_behind_silence(bench, wait_s=2.0):
+    """Send what may be in flight to a silent store; return one that waits."""
+    bench.store.mode = "silent"
+    for key in ("k0", "k1"):
+        bench.create(key)
+        bench.loop.advance(0.0)
+    waiting = bench.create("k2", wait_s)
+    bench.loop.advance(0.1)
+    assert not waiting.done()
+    return waiting
+
+
+def test_records_that_wait_are_refused_once_the_store_is_away():
+    """Guards against callers whose job is sent to a store that is away."""
+    bench = Bench()
+    waiting = wait_behind_silence(bench)
+    bench.store.expire()
+    bench.loop.advance(0.0)
+    with pytest.raises(NotAcceptedNowError):
+        waiting.result(0)
+
+
+def test_a_record_that_was_refused_while_it_waited_is_never_sent():
+    """Guards against a job that runs although its caller was refused."""
+    bench = Bench()
+    waiting = wait_behind_silence(bench, wait_s=0.5)
+    bench.loop.advance(0.6)
+    with pytest.raises(NotAcceptedNowError):
+        waiting.result(0)
+    bench.store.mode = "up"
+    bench.store.expire()
+    bench.loop.advance(1.0)
+    assert "k2" not in bench.store.items
+
+
+def test_a_caller_is_answered_when_its_time_is_over():
+    """Guards against callers who hear nothing from a silent store."""
+    bench = Bench()
+    bench.store.mode = "silent"
+    made = bench.create("k0", wait_s=0.7)
+    bench.loop.advance(0.8)
+    with pytest.raises(UnknownOutcomeError):
+        made.result(0)
+
+
+def test_a_store_that_loses_some_answers_is_not_away():
+    """Guards against refusals while the store serves most calls.
+
+    Pattern: a part of the store's answers is lost.
+    """
+    bench = Bench()
+    bench.store.mode = "lost"
+    bench.create("k0")
+    bench.loop.advance(0.05)
+    bench.other_answer_s = bench.loop.clock() + 0.01
+    bench.store.mode = "up"
+    bench.loop.advance(0.02)
+    made = bench.create("k1")
+    bench.loop.advance(0.05)
+    assert made.result(0).revision
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -66,7 +66,9 @@
 class FakeStore(StoreCalls):
     """A store in memory.
 
-    :ivar mode: ``up``, ``down`` or ``lost`` (done, not answered).
+    :ivar mode: ``up``, ``down``, ``lost`` (done, not answered), ``late``
+        (done at :meth:`release`, not answered) or ``silent`` (no answer
+        before :meth:`expire`).
     """
 
     def __init__(self):
@@ -76,6 +78,7 @@
         self.mode = "up"
         self.txns = 0
         self.held: list[tuple] = []
+        self.unanswered: list[Future] = []
 
     def put(self, key: str, value: bytes = b"", lease: int = 0) -> int:
         """Write a key as the operator or a lease's holder would."""
@@ -90,6 +93,9 @@
         assert len(compares) + len(writes) <= 32
         if self.mode == "down":
             return settled(error=StoreUnavailableError("txn", "test"))
+        if self.mode == "silent":
+            self.unanswered.append(Future())
+            return self.unanswered[-1]
         if self.mode == "late":
             self.held.append((compares, writes))
             return settled(error=StoreAnswerLostError("txn", "test"))
@@ -122,6 +128,12 @@
                 )
         return TxnResult(True, self.revision, {})
 
+    def expire(self) -> None:
+        """Let the calls without an answer run out of time."""
+        unanswered, self.unanswered = self.unanswered, []
+        for call in unanswered:
+            call.set_exception(StoreAnswerLostError("txn", "test"))
+
     def release(self) -> None:
         """Carry out the transactions that were held up."""
         held, self.held = self.held, []
