Go on with accepted jobs while the store is away

Ruled out: a longer lease, which delays each takeover by as much. It now goes on for jobs.grace_s on workers that answer with its fence; a new coordinator waits for live workers that it does not reach.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -139,6 +139,7 @@
             if entry.leaving and not worker.entry.leaving:
                 state.events.note("worker.leaving", worker=entry.id)
             worker.entry = entry
+            worker.registered_s = state.clock()
             worker.listed = True
             worker.unlisted_s = 0.0
         elif worker:
--- a/cyclamenscale/jobs/leadership.py
+++ b/cyclamenscale/jobs/leadership.py
@@ -43,6 +43,9 @@
         self.id = 0
         self.proved_until_s = -1e9
 
-    def is_proved(self) -> bool:
-        """Return whether the lease surely holds now."""
-        return bool(self.id) and self.clock() < self.proved_until_s
+    def is_proved(self, slack_s: float = 0.0) -> bool:
+        """Return whether the lease surely holds now.
+
+        :param slack_s: time for which it may not have held any more.
+        """
+        return bool(self.id) and self.clock() < self.proved_until_s + slack_s
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -266,7 +266,7 @@
                 if run.in_flight:
                     continue
                 if run.phase == DOUBTFUL:
-                    if run.tries < 2 and self.state.proven():
+                    if run.tries < 2 and self.state.may_start():
                         self.send_start(run)
                     else:
                         self.stop(run, "start had no answer")
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -128,7 +128,7 @@
             if job.open_steps():
                 pools.setdefault(job.queue.pool, []).append(job)
         self.backlog.clear()
-        may_start = state.proven()
+        may_start = state.may_start()
         for pool, jobs in pools.items():
             candidates = self.candidates(pool, now_s)
             jobs.sort(key=lambda job: self.order(job, now_s))
@@ -190,9 +190,11 @@
 
     def is_unseen(self, job: Job, now_s: float) -> bool:
         """Return whether a task may run on a worker not yet looked at."""
-        return now_s < job.unseen_until_s and self.state.unseen_workers(
-            job.queue.pool
-        )
+        state, pool = self.state, job.queue.pool
+        if now_s < job.unseen_until_s:
+            return state.unseen_workers(pool)
+        until_s = job.unseen_until_s + state.settings.jobs.grace_s
+        return now_s < until_s and state.unreached_alive(pool)
 
     def choose(
         self, task: Task, candidates: list[Candidate], reserved: set[str]
@@ -345,7 +347,7 @@
 
     def copy_doubtful(self, now_s: float) -> None:
         """Start copies of tasks whose only run is on a silent worker."""
-        if not self.state.proven():
+        if not self.state.may_start():
             return
         for worker in list(self.state.workers.values()):
             if worker.failed_looks < 2:
--- a/cyclamenscale/jobs/speeds.py
+++ b/cyclamenscale/jobs/speeds.py
@@ -244,7 +244,7 @@
     def move(self, run: Run, task: Task, left_s: float) -> None:
         """Start a copy of a run elsewhere, or stop it to start it anew."""
         now_s = self.state.clock()
-        if not self.state.proven():
+        if not self.state.may_start():
             return
         if not self.placement.find_other(task, now_s):
             return
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -1,7 +1,6 @@
 """What a coordinator knows, shared by the parts that decide."""
 
-from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.model import Machine, Manifest, Queue, WorkerEntry
@@ -15,6 +14,17 @@
 from cyclamenscale.util.clock import Clock
 from cyclamenscale.util.events import EventLog
 
+#: A worker that has written to the registry within this time is alive; it
+#: writes every 1.5 s or so.
+ALIVE_S = 4.0
+
+
+class Proof(Protocol):
+    """Tells whether this entry leads."""
+
+    def __call__(self, slack_s: float = 0.0) -> bool:
+        """Return whether it surely led up to some seconds ago."""
+
 
 class Term(NamedTuple):
     """A period in which this entry coordinates.
@@ -47,7 +57,7 @@
         manifest: Manifest,
         clock: Clock,
         wall: Clock,
-        proven: Callable[[], bool],
+        proven: Proof,
         events: EventLog,
         metrics: Metrics,
     ):
@@ -82,6 +92,16 @@
             return stored
         return self.manifest.queues.get(stored.name, stored)
 
+    def may_start(self) -> bool:
+        """Return whether tasks may be started.
+
+        While the store is away a lease can't be proved, and nobody else can
+        take over either. A coordinator that has been replaced is told so by
+        the fence of the first worker that its successor has reached, and
+        the successor waits for workers that it does not reach.
+        """
+        return self.proven(self.settings.jobs.grace_s)
+
     def touch(self) -> None:
         """Note that a placement may have become possible."""
         self.changed = True
@@ -98,6 +118,20 @@
         slow_s = self.hold_s / CLOCK_SLOWNESS
         return self.term.began_s + slow_s + LAPSE_MARGIN_S
 
+    def unreached_alive(self, pool: str) -> bool:
+        """Return whether a live worker of a pool has not been reached.
+
+        The coordinator before may still reach it, and start tasks there.
+        """
+        now_s = self.clock()
+        return any(
+            worker.entry.pool == pool
+            and worker.fence != self.term.fence
+            and not worker.gone
+            and now_s - worker.registered_s < ALIVE_S
+            for worker in self.workers.values()
+        )
+
     def unseen_workers(self, pool: str) -> bool:
         """Return whether a pool may have a worker that was not looked at.
 
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -125,6 +125,7 @@
     :ivar applied: number of the last end that was applied.
     :ivar acknowledged: number of the last end whose effect is stored.
     :ivar listed: whether the registry shows it.
+    :ivar registered_s: when it last wrote to the registry in this term.
     :ivar cordoned: reason why nothing may be started on it, or empty.
     :ivar condemned: whether an order that ends its runs may be under way.
     :ivar blocked_until_s: no starts before this time.
@@ -155,6 +156,7 @@
         self.applied = 0
         self.acknowledged = 0
         self.listed = True
+        self.registered_s = -1e9
         self.unlisted_s = 0.0
         self.cordoned = ""
         self.condemned = False
--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -432,6 +432,12 @@
     renew_s: Annotated[
         float, Range(0.05, 60), "time between renewals of that lease"
     ] = 0.35
+    grace_s: Annotated[
+        float,
+        Range(0, 60),
+        "time for which a coordinator goes on to start accepted tasks while "
+        "the store is away",
+    ] = 6.0
     holder_pause_ms: Annotated[
         int,
         Range(0, 600000),
--- a/test/jobs/test_coordinator_machine.py
+++ b/test/jobs/test_coordinator_machine.py
@@ -110,11 +110,25 @@
         self.old = [self.world.coordinator]
         self.world.take_over(f"e{self.terms}")
 
+    @precondition(lambda self: self.old)
+    @rule(pick=st.integers(0, 2))
+    def cut_from_new(self, pick):
+        """Cut a worker off from the new coordinator; the old reaches it."""
+        worker = self.world.workers.workers[self.names[pick]]
+        worker.cut_from.add(self.world.coordinator.state.term.fence)
+
+    @rule(pick=st.integers(0, 2))
+    def register(self, pick):
+        """Let a worker write to the registry."""
+        worker = self.world.workers.workers[self.names[pick]]
+        self.world.coordinator.list_worker(worker.entry)
+
     @precondition(lambda self: self.old)
     @rule()
     def act_as_before(self):
         """Let the replaced coordinator decide once more."""
-        self.old[0].turn()
+        if not self.old[0].state.deposed:
+            self.old[0].turn()
 
     @precondition(lambda self: self.jobs)
     @rule(pick=st.integers(1, JOBS_LIMIT))
@@ -139,6 +153,7 @@
         world.store.mode = "up"
         for worker in world.workers.workers.values():
             worker.mode = "up"
+            worker.cut_from.clear()
         world.workers.release()
         world.store.release()
         if world.coordinator.state.deposed:
