Split steps and the registry out of the job and entry modules

Tasks, steps and occurrences are in steps.py, the feed of the workers' registry in registry.py; a look's and a probe's answers take one path. No behaviour changes; tests of test/jobs and test/platform pass.

--- a/cyclamenscale/jobs/advice.py
+++ b/cyclamenscale/jobs/advice.py
@@ -3,9 +3,9 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
-from cyclamenscale.jobs.job import StepState
 from cyclamenscale.jobs.ports import WorkerCalls
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import StepState
 from cyclamenscale.jobs.worker import Worker
 
 #: Workers named in one call; the service takes 100.
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -10,9 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cyclamenscale.errors import (
-    FieldError,
-)
+from cyclamenscale.errors import FieldError
 from cyclamenscale.jobs.acceptance import Acceptance
 from cyclamenscale.jobs.board import Board
 from cyclamenscale.jobs.coordinator import TICK_S, Coordinator, Ports
@@ -29,6 +27,7 @@
     WorkerEntry,
 )
 from cyclamenscale.jobs.presence import Presence
+from cyclamenscale.jobs.registry import Registry
 from cyclamenscale.jobs.relay import Answerer, Relay
 from cyclamenscale.jobs.state import State, Term
 from cyclamenscale.metrics import Metrics
@@ -110,7 +109,7 @@
         self.waves: dict[int, Wave] = {}
         self.draining = False
         self.coordinator: Coordinator | None = None
-        self.worker_feed: Feed | None = None
+        self.registry: Registry | None = None
         self.turn_planned = False
         self.remove_due_s = 0.0
         self.links = links
@@ -320,16 +319,16 @@
         for wave in self.waves.values():
             record = self.board.waves.get(wave.number)
             coordinator.machines.waves.set_wave(wave, record)
-        self.worker_feed = Feed(
+        self.registry = Registry(
             self.loop,
             self.ports.store,
             self.events,
             self.decoders.worker_prefix,
-            self.replace_workers,
-            self.apply_workers,
+            self.decoders.worker,
             self.settings.jobs.watch_ms,
+            coordinator,
+            self.plan_turn,
         )
-        self.worker_feed.start()
         self.events.note("term.begin", fence=term.fence, jobs=len(state.jobs))
         self.tick(coordinator)
 
@@ -341,9 +340,9 @@
 
     def end_term(self, why: str) -> None:
         """Stop coordinating; another entry takes over."""
-        if self.worker_feed:
-            self.worker_feed.stop()
-            self.worker_feed = None
+        if self.registry:
+            self.registry.stop()
+            self.registry = None
         self.coordinator = None
 
     def tick(self, coordinator: Coordinator) -> None:
@@ -369,35 +368,6 @@
         if coordinator.state.deposed:
             self.election.resign(coordinator.state.deposed)
 
-    def replace_workers(self, items: list[KeyValue], revision: int) -> None:
-        """Take a full reading of the registry over."""
-        if not self.coordinator:
-            return
-        prefix = self.decoders.worker_prefix
-        names = {item.key.removeprefix(prefix) for item in items}
-        for worker in set(self.coordinator.state.registry) - names:
-            self.coordinator.unlist_worker(worker)
-        self.coordinator.state.registry_read = True
-        self.apply_workers(items, revision)
-
-    def apply_workers(self, items: list[KeyValue], revision: int) -> None:
-        """Take changes of the registry over."""
-        coordinator = self.coordinator
-        if not coordinator:
-            return
-        for item in items:
-            worker = item.key.removeprefix(self.decoders.worker_prefix)
-            if not item.create_revision:
-                coordinator.unlist_worker(worker)
-                continue
-            try:
-                entry = self.decoders.worker(worker, item.value)
-            except FieldError as error:
-                self.events.note("worker.unreadable", reason=str(error))
-                continue
-            coordinator.list_worker(entry)
-        self.plan_turn()
-
     def remove_ended(self) -> None:
         """Remove jobs from the store that ended long ago."""
         now_s = self.loop.clock()
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -2,7 +2,7 @@
 
 from concurrent.futures import Future
 
-from cyclamenscale.jobs.job import Job, Task
+from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.model import (
     DONE,
     END_DONE,
@@ -18,6 +18,7 @@
 from cyclamenscale.jobs.ports import HoldOrder, OrderAnswer, WorkerCalls
 from cyclamenscale.jobs.speeds import Speeds
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
     RUNNING,
     STOPPING,
@@ -96,12 +97,7 @@
             self.failed(worker, error.reason, now_s)
             worker.probe_due_s = now_s + RETRY_S
             return
-        worker.probe_due_s = 0.0
-        answer = done.result()
-        if isinstance(answer, OrderAnswer):
-            self.refused(worker, answer, now_s)
-        else:
-            self.take_report(worker, answer, now_s)
+        self.take_answer(worker, done.result(), now_s)
 
     def look(self, worker: Worker) -> None:
         """Extend a worker's hold and wait for its report."""
@@ -138,8 +134,13 @@
         if error:
             self.failed(worker, error.reason, now_s)
             return
+        self.take_answer(worker, done.result(), now_s)
+
+    def take_answer(
+        self, worker: Worker, answer: WorkerReport | OrderAnswer, now_s: float
+    ) -> None:
+        """Follow an answer, to a look that waited or to a probe."""
         worker.probe_due_s = 0.0
-        answer = done.result()
         if isinstance(answer, OrderAnswer):
             self.refused(worker, answer, now_s)
         else:
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -8,7 +8,6 @@
 from concurrent.futures import Future
 
 from cyclamenscale.errors import CallError, CallNotSentError
-from cyclamenscale.jobs.job import Task
 from cyclamenscale.jobs.model import END_FAILED
 from cyclamenscale.jobs.ports import (
     OrderAnswer,
@@ -18,6 +17,7 @@
     WorkerCalls,
 )
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
     DOUBTFUL,
     RUNNING,
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -11,9 +11,10 @@
 
 from cyclamenscale.errors import FieldError
 from cyclamenscale.jobs.advice import Tickets
-from cyclamenscale.jobs.job import Job, StepState, Task
+from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.worker import Worker
 
 #: Orders in flight to one worker; further tasks wait for the next pass.
--- /dev/null
+++ b/cyclamenscale/jobs/registry.py
@@ -0,0 +1,76 @@
+"""Follows the registry of workers on behalf of a coordinator."""
+
+from collections.abc import Callable
+
+from cyclamenscale.errors import FieldError
+from cyclamenscale.jobs.coordinator import Coordinator
+from cyclamenscale.jobs.feeds import Feed
+from cyclamenscale.jobs.model import WorkerEntry
+from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.store.port import KeyValue
+from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import Loop
+
+Decode = Callable[[str, bytes], WorkerEntry]
+
+
+class Registry:
+    """The workers' own records, for as long as a term lasts.
+
+    :param store: keeps the records.
+    :param prefix: where they lie.
+    :param decode: decodes a record, given the worker's id.
+    :param wait_ms: longest wait of one watch.
+    :param coordinator: told of workers that come, change and go.
+    :param on_change: called after changes.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        store: StoreCalls,
+        events: EventLog,
+        prefix: str,
+        decode: Decode,
+        wait_ms: int,
+        coordinator: Coordinator,
+        on_change: Callable[[], None],
+    ):
+        """Begin to follow the records."""
+        self.events = events
+        self.prefix = prefix
+        self.decode = decode
+        self.coordinator = coordinator
+        self.on_change = on_change
+        self.feed = Feed(
+            loop, store, events, prefix, self.replace, self.apply, wait_ms
+        )
+        self.feed.start()
+
+    def stop(self) -> None:
+        """End with the term."""
+        self.feed.stop()
+
+    def replace(self, items: list[KeyValue], revision: int) -> None:
+        """Take a full reading over."""
+        state = self.coordinator.state
+        names = {item.key.removeprefix(self.prefix) for item in items}
+        for worker in set(state.registry) - names:
+            self.coordinator.unlist_worker(worker)
+        state.registry_read = True
+        self.apply(items, revision)
+
+    def apply(self, items: list[KeyValue], revision: int) -> None:
+        """Take changes over."""
+        for item in items:
+            worker = item.key.removeprefix(self.prefix)
+            if not item.create_revision:
+                self.coordinator.unlist_worker(worker)
+                continue
+            try:
+                entry = self.decode(worker, item.value)
+            except FieldError as error:
+                self.events.note("worker.unreadable", reason=str(error))
+                continue
+            self.coordinator.list_worker(entry)
+        self.on_change()
--- a/cyclamenscale/jobs/speeds.py
+++ b/cyclamenscale/jobs/speeds.py
@@ -10,10 +10,10 @@
 from statistics import median, median_low
 from typing import NamedTuple
 
-from cyclamenscale.jobs.job import StepState, Task
 from cyclamenscale.jobs.orders import Orders
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.worker import RUNNING, Run, Worker
 
 #: Time between two judgements.
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -6,8 +6,8 @@
 """
 
 from cyclamenscale.fleet.ports import Resources
-from cyclamenscale.jobs.job import Task
 from cyclamenscale.jobs.model import RunReport, WorkerEntry
+from cyclamenscale.jobs.steps import Task
 
 #: A worker's clock may be this much slow (the platform's figure is 2%).
 CLOCK_SLOWNESS = 0.97
