Connect each entry to eight peers at most

Links between all pairs would not hold at the size of docs/CAPACITY.md. Each entry chooses its peers by rendezvous hashing, so that one that goes changes one link. With eight entries or fewer nothing changes.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -36,6 +36,7 @@
 from cyclamenscale.util.events import EventLog
 from cyclamenscale.util.loop import Loop
 from cyclamenscale.util.peer_calls import PeerCalls
+from cyclamenscale.util.rendezvous import choose_some
 
 #: Time between looks at what has a time.
 RUN_S = 0.1
@@ -49,6 +50,10 @@
 #: A watch that has not answered for this long over its own time is behind.
 WATCH_SLACK_S = 0.4
 
+#: Peers that an entry connects to; with three of five turned away, one in
+#: sixty entries has no peer that the store serves.
+PEERS_CONNECTED = 8
+
 #: Time between removals of ended jobs.
 REMOVE_S = 2.0
 
@@ -193,11 +198,13 @@
         self.check_leader()
 
     def follow_peers(self) -> None:
-        """Connect to the entries that are on the board."""
+        """Connect to some of the entries that are on the board."""
+        own = self.settings.entry.name
+        entries = self.board.entries
+        others = [name for name in entries if name != own]
         peers = {
-            name: record.address
-            for name, record in self.board.entries.items()
-            if name != self.settings.entry.name
+            name: entries[name].address
+            for name in choose_some(own, others, PEERS_CONNECTED)
         }
         if peers != self.relay.peers:
             self.events.note("peers.changed", peers=sorted(peers))
--- a/cyclamenscale/util/rendezvous.py
+++ b/cyclamenscale/util/rendezvous.py
@@ -13,7 +13,16 @@
     :param name: the name.
     :param nodes: names of the nodes, at least one.
     """
-    return max(
-        nodes,
-        key=lambda node: (xxh64_intdigest(f"{name}\0{node}".encode()), node),
-    )
+    return choose_some(name, nodes, 1)[0]
+
+
+def choose_some(name: str, nodes: Iterable[str], count: int) -> list[str]:
+    """Return the nodes that a name belongs to, the first choice first.
+
+    :param count: at most so many.
+    """
+
+    def weight(node: str) -> tuple[int, str]:
+        return xxh64_intdigest(f"{name}\0{node}".encode()), node
+
+    return sorted(nodes, key=weight, reverse=True)[:count]
