Wait for an unreached live worker only as long as it matters

Cause, found by reading: after a change of coordinator a worker that is alive and answers nothing (a mute one) held up the older jobs of its pool for jobs.grace_s, 6 s, on top of the longest hold. The coordinator before is refused by another worker within two looks, so that 1.5 s are enough. Test: test_a_live_worker_that_the_new_coordinator_cannot_reach_is_waited_for now lets the old one act until another worker refuses it after 0.9 s; it fails with no wait at all.

--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -23,6 +23,10 @@
 #: Failed runs of different jobs after which a worker is tried alone.
 DEMERITS_LIMIT = 3
 
+#: Time in which a coordinator that was replaced is told so by a worker; it
+#: looks at each of them about twice a second.
+DEPOSED_S = 1.5
+
 #: A lasting task that waits has room kept free for it on one worker.
 RESERVATIONS_LIMIT = 4
 
@@ -194,7 +198,7 @@
         state, pool = self.state, job.queue.pool
         if now_s < job.unseen_until_s:
             return state.unseen_workers(pool)
-        until_s = job.unseen_until_s + state.settings.jobs.grace_s
+        until_s = job.unseen_until_s + DEPOSED_S
         return now_s < until_s and state.unreached_alive(pool)
 
     def choose(
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -519,15 +519,18 @@
     world.run()
     world.submit("j1", SMALL)
     world.run()
-    cut = world.workers.workers["pool-a-0"]
+    cut, other = (world.workers.workers[f"pool-a-{n}"] for n in (0, 1))
+    other.cut_from.add(old.state.term.fence)
     world.take_over("e2")
     cut.cut_from.add(world.coordinator.state.term.fence)
-    for _ in range(40):
-        world.run(0.1)
+    for tenth in range(60):
+        if tenth == 9:
+            other.cut_from.clear()
         if not old.state.deposed:
             old.turn()
-        old.looks.look(old.state.workers["pool-a-0"])
+        world.run(0.1)
         world.coordinator.list_worker(cut.entry)
+    assert old.state.deposed
     assert not world.broken
     assert len(world.running("j1")) == 2
 
