Start no job that came while the lease was unproved

The successor stopped the run it did not know, learned of the job by its watch and started it beside the run that was being stopped. Ruled out: the wait for unseen workers, which holds for jobs of earlier terms only and was kept. Jobs that come while the lease is unproved now need a proved one, and a run that was seen before its job belongs to its task until it has ended. Tests: two in test/jobs/test_coordinator.py (failed before).

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -93,10 +93,12 @@
         # Clocks of entries differ and may jump.
         age_s = min(max(age_s, 0.0), 60.0) if restored else 0.0
         job = Job(record, queue, state.clock() - age_s)
+        job.needs_proof = not state.proven()
         if restored:
             job.unseen_until_s = state.takeover_end_s
         state.jobs[record.id] = job
         job.open_due(state.wall() * 1000, state.clock())
+        self.looks.attach(job)
         state.touch()
 
     def restore_progress(
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -54,6 +54,9 @@
         self.stored = ProgressRecord()
         self.stored_revision = 0
         self.dirty = False
+        #: Whether it came while the lease was unproved: a coordinator that
+        #: has taken over meanwhile may know it as a new job.
+        self.needs_proof = False
         #: Until when a run of it may be on a worker that nobody has looked
         #: at, 0 if this term accepted it.
         self.unseen_until_s = 0.0
--- a/cyclamenscale/jobs/looks.py
+++ b/cyclamenscale/jobs/looks.py
@@ -279,6 +279,26 @@
         if rival and not task.step.spec.copies:
             self.orders.stop(run, "another run of the task is known")
 
+    def attach(self, job: Job) -> None:
+        """Find the runs that were seen before their job was known.
+
+        They are being stopped; until they have ended their tasks must not
+        start again.
+        """
+        prefix = f"{job.record.id}."
+        for worker in self.state.workers.values():
+            for run in worker.runs.values():
+                if run.task or not run.name.startswith(prefix):
+                    continue
+                task = self.find(run.name)
+                if not task:
+                    continue
+                worker.identify(run, task)
+                job.highest_run = max(job.highest_run, run.number)
+                task.runs.append(run)
+                if task in task.step.waiting:
+                    task.step.waiting.remove(task)
+
     def find(self, name: str) -> Task | None:
         """Return the open task of a name, if there is one."""
         parts = parse_task(name)
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -133,14 +133,14 @@
             if job.open_steps():
                 pools.setdefault(job.queue.pool, []).append(job)
         self.backlog.clear()
-        may_start = state.may_start()
+        may_start, proven = state.may_start(), state.proven()
         for pool, jobs in pools.items():
             candidates = self.candidates(pool, now_s)
             jobs.sort(key=lambda job: self.order(job, now_s))
             reserved: set[str] = set()
             for job in jobs:
                 for step in job.open_steps():
-                    if may_start:
+                    if may_start and (proven or not job.needs_proof):
                         self.place(step, candidates, reserved, now_s)
                     need = step.spec.need.processors
                     self.backlog[pool] += need * len(step.waiting)
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -203,6 +203,13 @@
         self.runs[run.key] = run
         self.count_used()
 
+    def identify(self, run: Run, task: Task) -> None:
+        """Note the task of a run that was not known."""
+        run.task = task
+        run.need = task.step.spec.need
+        run.fills = task.step.spec.fills
+        self.count_used()
+
     def remove(self, run: Run) -> None:
         """Drop a run that has certainly ended."""
         self.runs.pop(run.key, None)
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -495,6 +495,45 @@
     assert not world.broken
 
 
+def test_a_job_that_comes_while_the_lease_is_unproved_waits():
+    """Guards against a job that two coordinators take for a new one.
+
+    A coordinator that is cut off has a peer store its callers' jobs; the
+    next one learns of them by its watch.
+    """
+    world = World()
+    world.lead()
+    world.run()
+    world.proof.lose()
+    world.submit("j1", SMALL)
+    world.run(1.0)
+    assert not world.running()
+    world.proof.lost_s = None
+    world.run()
+    assert len(world.running("j1")) == 2
+
+
+def test_a_run_that_was_seen_before_its_job_excludes_another():
+    """Guards against a start beside a run that is still being stopped."""
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    worker.runs[("j1.0.0.0", 3)] = world.clock()
+    worker.deadline_ms = worker.now_ms() + 60000
+    stop = world.workers.stop
+    world.workers.stop = lambda *args: Future()
+    world.run(0.1)
+    world.submit("j1", SMALL)
+    world.run(0.5)
+    assert [run for _, run, _ in world.running("j1.0.0.0")] == [3]
+    world.workers.stop = stop
+    worker.end(("j1.0.0.0", 3), "stopped")
+    world.run(0.5)
+    assert [run for _, run, _ in world.running("j1.0.0.0")] > [3]
+    assert not world.broken
+
+
 def test_a_replaced_coordinator_stops_at_the_first_higher_fence():
     """Guards against two coordinators that both start tasks."""
     world = World()
