Gather the rates of runs once for each judgement

Judging each run looked at all tasks of its step, which is quadratic in the width of a step; a step may have 10,000 tasks. The rates are now gathered once, over runs.

--- a/cyclamenscale/jobs/speeds.py
+++ b/cyclamenscale/jobs/speeds.py
@@ -90,6 +90,8 @@
         self.ended: dict[str, deque[Sample]] = {}
         #: By pool, how the times of ended runs relate to their estimates.
         self.biases: dict[str, deque[float]] = {}
+        #: Workers and rates of the runs of each step, as last judged.
+        self.rates: dict[StepState, list[tuple[Worker, float]]] = {}
 
     def note_done(self, run: Run, now_s: float) -> None:
         """Take a run that was done into account."""
@@ -121,10 +123,9 @@
         :param worker: left out, since it is to be judged.
         """
         times_s = step.ran_s + [
-            100 / run.rate
-            for task in step.tasks
-            for run in task.runs
-            if run.rate and run.worker is not worker
+            100 / rate
+            for other, rate in self.rates.get(step, ())
+            if other is not worker
         ]
         if len(times_s) > 1:
             return max(median(times_s), 0.01)
@@ -137,6 +138,7 @@
         if now_s < self.due_s:
             return
         self.due_s = now_s + INTERVAL_S
+        self.note_rates()
         pools: dict[str, dict[Worker, list[Sample]]] = {}
         for worker in self.state.workers.values():
             if worker.gone or worker.failed_looks:
@@ -152,6 +154,15 @@
         for name in self.ended.keys() - self.state.workers.keys():
             del self.ended[name]
 
+    def note_rates(self) -> None:
+        """Gather the rates of all runs by their steps."""
+        self.rates = {}
+        for worker in self.state.workers.values():
+            for run in worker.runs.values():
+                if run.task and run.rate:
+                    rates = self.rates.setdefault(run.task.step, [])
+                    rates.append((worker, run.rate))
+
     def samples(self, worker: Worker, now_s: float) -> list[Sample]:
         """Return how the runs of a worker go, and went of late."""
         found = [
