Log the leader's load and how it concluded that runs have ended

On a grown deployment the leader reported hundreds of starts and polls without a response, and its log could not tell whether responses waited in its event loop, on the link of its machine, or were never sent. Neither did it show from which clock reading a run was taken as expired, nor that its end was reported after that.

leader.load has, once a second, the lag and the busy share of the loop and the calls, bytes and connections of the HTTP client; worker.lapsed has the readings that the conclusion is based on; task.end_unexpected shows an end of a run that the leader no longer had; task.start_refused says how often the start was sent. The same figures are exported as metrics.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -34,6 +34,7 @@
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import KeyValue
 from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.http_client import HttpLoad
 from cyclamenscale.util.loop import Loop
 from cyclamenscale.util.peer_calls import PeerCalls
 from cyclamenscale.util.rendezvous import choose_nodes
@@ -44,6 +45,9 @@
 #: Time for which changes of jobs are batched after a watch event.
 WATCH_BATCH_DELAY_S = 0.1
 
+#: Interval of the log line about the leader's load.
+LOAD_INTERVAL_S = 1.0
+
 #: An entry without a response from the store for this long is not ready.
 MAX_STORE_SILENCE_S = 2.5
 
@@ -89,6 +93,8 @@
     :param rng: random source for jitter.
     :param peer_calls: requests to and from the other entries.
     :ivar responder: serves requests of peers; set before :meth:`start`.
+    :ivar take_http_load: returns the load of the HTTP client since the last
+        call; set before :meth:`start`.
     """
 
     def __init__(
@@ -119,6 +125,8 @@
         self.next_removal_s = 0.0
         self.peer_calls = peer_calls
         self.responder: Responder | None = None
+        self.take_http_load: Callable[[], HttpLoad] = HttpLoad
+        self.next_load_s = 0.0
         self.presence: Presence | None = None
         self.relay = Relay(loop, peer_calls, events, rng)
         self.acceptance = Acceptance(
@@ -187,6 +195,38 @@
         )
         self.election.run()
         self.remove_ended_jobs()
+        self.report_load()
+
+    def report_load(self) -> None:
+        """Log the load of a leader, and export that of every entry.
+
+        It shows whether late responses waited in this process (lag, busy
+        share) or on its link (bytes, calls in progress).
+        """
+        now_s = self.loop.clock()
+        if now_s < self.next_load_s:
+            return
+        self.next_load_s = now_s + LOAD_INTERVAL_S
+        loop, http = self.loop.take_load(), self.take_http_load()
+        self.metrics.timing("loop.lag_ms", loop.lag_s * 1000)
+        self.metrics.gauge("loop.busy_share", loop.busy_share)
+        self.metrics.gauge("http.pending", http.pending)
+        self.metrics.incr("http.unanswered", http.unanswered)
+        self.metrics.incr("http.connections", http.connections)
+        self.metrics.incr("http.sent_bytes", http.sent_bytes)
+        self.metrics.incr("http.received_bytes", http.received_bytes)
+        if not self.coordinator:
+            return
+        workers = self.coordinator.state.workers.values()
+        self.events.note(
+            "leader.load",
+            lag_ms=round(loop.lag_s * 1000, 1),
+            busy_share=round(loop.busy_share, 3),
+            **http._asdict(),
+            orders=sum(worker.orders_in_flight for worker in workers),
+            silent=sum(worker.failed_polls > 1 for worker in workers),
+            workers=len(workers),
+        )
 
     # Changes of the store.
 
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -51,8 +51,10 @@
 
     def extend_lease(self, worker: Worker) -> int:
         """Extend the lease of a worker's runs and return its deadline."""
+        now_s = self.state.clock()
         lease_ms = self.state.task_lease_s * 1000
-        deadline_ms = int(worker.min_clock_ms(self.state.clock()) + lease_ms)
+        deadline_ms = int(worker.min_clock_ms(now_s) + lease_ms)
+        worker.lease_extended_s = now_s
         worker.lease_deadline_ms = max(worker.lease_deadline_ms, deadline_ms)
         return worker.lease_deadline_ms
 
@@ -113,7 +115,11 @@
             self.handle_lost_start_response(run, error)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        now_s = self.state.clock()
+        worker.record_clock(response.clock_ms, now_s)
+        if run.tries == 1:
+            took_ms = (now_s - run.started_s) * 1000
+            self.state.metrics.timing("jobs.start_response_ms", took_ms)
         if response.accepted:
             if run.phase in (STARTING, UNCONFIRMED):
                 run.phase = RUNNING
@@ -158,6 +164,8 @@
             run=run.number,
             worker=worker.id,
             reason=reason,
+            tries=run.tries,
+            sent_age_s=round(now_s - run.started_s, 3),
         )
         if reason == "fence":
             state.superseded = f"worker {worker.id} has seen a higher fence"
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -344,6 +344,18 @@
             run.inherited = True
             if task:
                 task.job.highest_run = max(task.job.highest_run, end.run)
+            self.state.events.note(
+                "task.end_unexpected",
+                task=end.task,
+                run=end.run,
+                worker=worker.id,
+                how=end.outcome,
+                end=end.number,
+                open=bool(task and not task.done),
+                runs=len(task.runs) if task else 0,
+                clock_ms=worker.reported_ms,
+                deadline_ms=worker.lease_deadline_ms,
+            )
         self.record_end(run, end.outcome, end.checkpoint)
 
     def record_end(self, run: Run, outcome: str, checkpoint: str) -> None:
@@ -424,6 +436,11 @@
                     worker=worker.id,
                     gone=worker.terminated,
                     runs=len(worker.runs),
+                    silent_s=round(now_s - worker.last_response_s, 2),
+                    extended_age_s=round(now_s - worker.lease_extended_s, 2),
+                    deadline_ms=worker.lease_deadline_ms,
+                    clock_ms=worker.clock_ms,
+                    clock_age_s=round(now_s - worker.clock_received_s, 2),
                 )
                 for run in list(worker.runs.values()):
                     self.record_end(run, END_EXPIRED, "")
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -134,6 +134,8 @@
     :ivar clock_received_s: when that response arrived.
     :ivar lease_deadline_ms: latest end of the lease of its runs that it may
         have been given, on its own clock.
+    :ivar lease_extended_s: when an order or poll that extends that lease was
+        last sent.
     :ivar last_response_s: when it last responded to a poll with a report.
     :ivar failed_polls: polls without a report since then.
     :ivar poll_due_s: when the next long poll is due.
@@ -166,6 +168,7 @@
         self.clock_ms = 0
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
+        self.lease_extended_s = 0.0
         self.first_seen_s = now_s
         self.last_response_s = -1e9
         self.failed_polls = 0
--- a/cyclamenscale/platform/program.py
+++ b/cyclamenscale/platform/program.py
@@ -89,6 +89,7 @@
             Random(os.urandom(8)),
             PeerCalls(self.loop, settings.entry.peers_address),
         )
+        self.entry.take_http_load = client.take_load
         calls = JobCalls(self.entry)
         self.entry.responder = Responder(
             self.loop, self.entry.acceptance.create_locally, calls.local_state
--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -41,6 +41,25 @@
     body: bytes
 
 
+class HttpLoad(NamedTuple):
+    """Calls of a client since the last reading.
+
+    :ivar calls: calls made.
+    :ivar pending: calls in progress now.
+    :ivar unanswered: calls that ended without a response.
+    :ivar connections: connections opened.
+    :ivar sent_bytes: bytes of the requests of the calls that ended.
+    :ivar received_bytes: bytes of the responses to them, without headers.
+    """
+
+    calls: int = 0
+    pending: int = 0
+    unanswered: int = 0
+    connections: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 class PendingCall(NamedTuple):
     """A call in progress.
 
@@ -76,6 +95,7 @@
         self.pending: dict[pycurl.Curl, PendingCall] = {}
         self.idle: list[pycurl.Curl] = []
         self.calls = 0
+        self.load = HttpLoad()
         multi = pycurl.CurlMulti()
         multi.setopt(pycurl.M_SOCKETFUNCTION, self.update_socket)
         multi.setopt(pycurl.M_TIMERFUNCTION, self.set_timer)
@@ -124,6 +144,7 @@
         outcome: Future = Future()
         self.pending[curl] = PendingCall(outcome, received)
         self.calls += 1
+        self.load = self.load._replace(calls=self.load.calls + 1)
         self.multi.add_handle(curl)
         return outcome
 
@@ -186,6 +207,9 @@
                 response = HttpResponse(status, pending.body.getvalue())
                 pending.outcome.set_result(response)
             for curl, code, text in failed:
+                self.load = self.load._replace(
+                    unanswered=self.load.unanswered + 1
+                )
                 sent = code != pycurl.E_COULDNT_CONNECT and (
                     curl.getinfo(pycurl.REQUEST_SIZE) > 0
                 )
@@ -195,6 +219,7 @@
 
     def release(self, curl: pycurl.Curl) -> PendingCall:
         """Remove a handle from the multi handle and keep it for reuse."""
+        self.record_traffic(curl)
         self.multi.remove_handle(curl)
         pending = self.pending.pop(curl)
         if len(self.idle) < MAX_IDLE_HANDLES:
@@ -202,6 +227,24 @@
             self.idle.append(curl)
         return pending
 
+    def record_traffic(self, curl: pycurl.Curl) -> None:
+        """Add the traffic of a call that has ended to the load."""
+        load = self.load
+        headers_bytes = curl.getinfo(pycurl.REQUEST_SIZE)
+        sent_bytes = headers_bytes + curl.getinfo(pycurl.SIZE_UPLOAD_T)
+        received_bytes = curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
+        self.load = load._replace(
+            connections=load.connections + curl.getinfo(pycurl.NUM_CONNECTS),
+            sent_bytes=load.sent_bytes + sent_bytes,
+            received_bytes=load.received_bytes + received_bytes,
+        )
+
+    def take_load(self) -> HttpLoad:
+        """Return the load since the last call."""
+        load = self.load._replace(pending=len(self.pending))
+        self.load = HttpLoad()
+        return load
+
 
 def new_handle() -> pycurl.Curl:
     """Create a handle with the options common to all calls."""
--- a/cyclamenscale/util/loop.py
+++ b/cyclamenscale/util/loop.py
@@ -13,7 +13,7 @@
 from heapq import heappop, heappush
 from itertools import count
 from threading import Lock
-from typing import Any
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -35,6 +35,17 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class LoopLoad(NamedTuple):
+    """Load of a loop since the last reading.
+
+    :ivar lag_s: longest delay of a timer.
+    :ivar busy_share: share of the time in which it did not wait for events.
+    """
+
+    lag_s: float
+    busy_share: float
+
+
 class Timer:
     """A scheduled call, which :meth:`cancel` revokes."""
 
@@ -68,6 +79,9 @@
         self.inbox: deque[Callable[[], None]] = deque()
         self.woken = False
         self.stopping = False
+        self.lag_s = 0.0
+        self.waited_s = 0.0
+        self.load_read_s = clock()
         self.wake_reader, self.wake_writer = socket.socketpair()
         self.wake_reader.setblocking(False)
         self.wake_writer.setblocking(False)
@@ -151,16 +165,30 @@
 
     def run_once(self) -> None:
         """Wait for socket events, then run everything that is due."""
-        for key, mask in self.selector.select(self.select_timeout_s()):
+        wait_began_s = self.clock()
+        events = self.selector.select(self.select_timeout_s())
+        self.waited_s += self.clock() - wait_began_s
+        for key, mask in events:
             self.run_guarded(lambda key=key, mask=mask: key.data(mask))
         now_s = self.clock()
         while self.timers and self.timers[0][0] <= now_s:
-            callback = heappop(self.timers)[2].callback
-            if callback:
-                self.run_guarded(callback)
+            due_s, _, timer = heappop(self.timers)
+            if timer.callback:
+                self.lag_s = max(self.lag_s, now_s - due_s)
+                self.run_guarded(timer.callback)
         for _ in range(len(self.ready)):
             self.run_guarded(self.ready.popleft())
 
+    def take_load(self) -> LoopLoad:
+        """Return the load since the last call; loop's thread only."""
+        now_s = self.clock()
+        passed_s = max(now_s - self.load_read_s, 1e-9)
+        busy_share = max(0.0, 1 - self.waited_s / passed_s)
+        load = LoopLoad(self.lag_s, busy_share)
+        self.lag_s = self.waited_s = 0.0
+        self.load_read_s = now_s
+        return load
+
     def select_timeout_s(self) -> float:
         """Return how long to wait for socket events."""
         if self.ready:
