Send no User-Agent and Accept headers

Of the 420 bytes of a poll about 200 were pycurl's default User-Agent, which lists the versions of all its libraries, and Accept.

Remove both from all requests. The test failed before: the server received User-Agent and Accept.

--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -29,6 +29,14 @@
 
 TCP_USER_TIMEOUT = 18
 
+#: Header lines of all requests; a name alone removes libcurl's own header.
+COMMON_HEADERS = (
+    "Content-Type: application/json",
+    "Expect:",
+    "Accept:",
+    "User-Agent:",
+)
+
 
 class HttpResponse(NamedTuple):
     """An HTTP response.
@@ -139,7 +147,7 @@
             curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(
             pycurl.HTTPHEADER,
-            ["Content-Type: application/json", "Expect:", *headers],
+            [*COMMON_HEADERS, *headers],
         )
         outcome: Future = Future()
         self.pending[curl] = PendingCall(outcome, received)
--- a/test/util/test_load.py
+++ b/test/util/test_load.py
@@ -44,6 +44,27 @@
     thread.join(5.0)
 
 
+def test_requests_carry_no_needless_headers(client):
+    """Guards against a link that is filled by headers nobody reads.
+
+    The default User-Agent of pycurl is as long as a short poll.
+    """
+    names = []
+
+    def serve(request):
+        names.extend(name for name, _ in request.headers)
+        return Response(b"")
+
+    server = HttpServer(serve, "127.0.0.1:0", 2)
+    server.start()
+    try:
+        url = f"http://{server.address}/"
+        assert settle(client, "POST", url, b"{}").result().status == 200
+    finally:
+        server.stop()
+    assert sorted(names) == ["Content-Length", "Content-Type", "Host"]
+
+
 def settle(client: HttpClient, method: str, url: str, body: bytes) -> Future:
     """Make a call and wait until it has ended."""
     call = client.loop.submit(lambda: client.request(method, url, body))
