Limit the starts in flight to what the leader's link carries

The window of starts in flight to all workers together now follows the response times, as in TCP: it grows while responses are prompt and shrinks when most of the latest ones are slow or missing. Tasks wait for it where they can be ordered, polls and lease renewals don't. Pools take turns in using a full window.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -224,6 +224,7 @@
             busy_share=round(loop.busy_share, 3),
             **http._asdict(),
             orders=sum(worker.orders_in_flight for worker in workers),
+            start_window=int(self.coordinator.orders.window.size),
             silent=sum(worker.failed_polls > 1 for worker in workers),
             workers=len(workers),
         )
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 
 from cyclamenscale.errors import CallError, CallNotSentError
+from cyclamenscale.jobs.flow_control import StartWindow
 from cyclamenscale.jobs.model import END_FAILED
 from cyclamenscale.jobs.ports import (
     OrderResponse,
@@ -42,12 +43,14 @@
 
     :param state: shared state of the term.
     :param calls: calls to the workers.
+    :ivar window: limit on the starts in flight to all workers.
     """
 
     def __init__(self, state: State, calls: WorkerCalls):
         """Initialise with no orders in flight."""
         self.state = state
         self.calls = calls
+        self.window = StartWindow()
 
     def extend_lease(self, worker: Worker) -> int:
         """Extend the lease of a worker's runs and return its deadline."""
@@ -100,11 +103,25 @@
         run.in_flight = True
         run.tries += 1
         worker.orders_in_flight += 1
+        sent_s = self.state.clock()
+        self.window.record_sent()
         call = self.calls.start(worker.record, order)
+        call.add_done_callback(lambda done: self.adapt_window(sent_s, done))
         call.add_done_callback(
             lambda done: self.handle_start_response(run, done)
         )
 
+    def adapt_window(self, sent_s: float, done: Future) -> None:
+        """Adapt the window to the time that a start's response took."""
+        now_s = self.state.clock()
+        if self.window.is_full:
+            # Tasks may be waiting for the window alone.
+            self.state.mark_changed()
+        if done.exception():
+            self.window.record_unanswered(now_s)
+        else:
+            self.window.record_response(now_s - sent_s, now_s)
+
     def handle_start_response(self, run: Run, done: Future) -> None:
         """Handle the response to a start."""
         run.in_flight = False
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -127,6 +127,7 @@
         #: By pool, processors that waiting tasks need after the last pass;
         #: decides on moves of machines.
         self.backlog: Counter[str] = Counter()
+        self.passes = 0
 
     def run(self) -> None:
         """Place the waiting tasks that can start now."""
@@ -139,7 +140,7 @@
                 pools.setdefault(job.queue.pool, []).append(job)
         self.backlog.clear()
         may_start, confirmed = state.may_start(), state.lease_confirmed()
-        for pool, jobs in pools.items():
+        for pool, jobs in self.rotate(pools):
             candidates = self.candidates(pool, now_s)
             jobs.sort(key=lambda job: self.order(job, now_s))
             reserved: set[str] = set()
@@ -152,6 +153,18 @@
                     need = step.spec.need.processors
                     self.backlog[pool] += need * len(step.waiting)
 
+    def rotate(
+        self, pools: dict[str, list[Job]]
+    ) -> list[tuple[str, list[Job]]]:
+        """Return the pools, beginning with another one in each pass.
+
+        Otherwise the first pool would use all starts that may be in flight.
+        """
+        self.passes += 1
+        ordered = sorted(pools.items())
+        first = self.passes % len(ordered) if ordered else 0
+        return ordered[first:] + ordered[:first]
+
     def candidates(self, pool: str, now_s: float) -> list[Candidate]:
         """Return the workers of a pool that tasks may be placed on."""
         return [
@@ -193,6 +206,8 @@
             self.place_gang(step, candidates, reserved)
             return
         for task in list(step.waiting):
+            if self.orders.window.is_full:
+                return
             worker = self.choose(task, candidates, reserved)
             if worker:
                 number = step.job.next_run_number()
@@ -321,6 +336,8 @@
         """Start all tasks of a gang with one run number, or none."""
         if len(step.waiting) < step.remaining or not step.remaining:
             return
+        if self.orders.window.is_full:
+            return
         racks = [candidates]
         if step.spec.same_rack:
             by_rack: dict[str, list[Candidate]] = {}
@@ -402,6 +419,8 @@
 
     def start_copy(self, task: Task, now_s: float) -> None:
         """Start a speculative copy of a task on another worker."""
+        if self.orders.window.is_full:
+            return
         worker = self.find_other_worker(task, now_s)
         if worker:
             number = task.job.next_run_number()
