Repeat an order only after a poll shows that it is missing

Callers waited for tasks that ran: when responses to starts were late, the leader sent each start again after 200 ms and stopped the run after the second time-out, although it was at work; a stop was repeated every 50 to 300 ms for as long as its worker was silent. On a leader whose link was full this kept the link full (leader.load: 1,000 calls a second, nearly all without a response), threw the work away, and ended long-running tasks that were serving (AVAIL).

A start or stop without a response is now followed by a poll. A report that lists the run confirms it; one that lacks it lets the start be sent once more, or the run be stopped, as before.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -1,8 +1,10 @@
 """Sends orders to start, stop and throttle runs; handles the responses.
 
-A start without a response may still be carried out, even seconds later. The
-same start is sent once more; if that has no response either, the run is
-stopped, after which the worker refuses to start it.
+A start without a response may have been carried out, or may still be, even
+seconds later. A poll shows whether the worker can be reached and has the run.
+If it lacks the run, the same start is sent once more, and if that has no
+response either, the run is stopped, after which the worker refuses to start
+it. Nothing is repeated to a worker that does not respond to polls.
 """
 
 from concurrent.futures import Future
@@ -153,7 +155,8 @@
         immediate poll shows whether it is.
         """
         state, worker = self.state, run.worker
-        worker.request_immediate_poll(state.clock())
+        run.unanswered_s = state.clock()
+        worker.request_immediate_poll(run.unanswered_s)
         state.metrics.incr("jobs.starts_unanswered")
         state.events.note(
             "task.start_unanswered",
@@ -257,12 +260,14 @@
         run.in_flight = False
         worker = run.worker
         worker.orders_in_flight -= 1
+        now_s = self.state.clock()
         error = done.exception()
         if error:
-            worker.request_immediate_poll(self.state.clock())
+            run.unanswered_s = now_s
+            worker.request_immediate_poll(now_s)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        worker.record_clock(response.clock_ms, now_s)
         if response.accepted:
             # A later report lists the run, unless it has ended.
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms, 1)
@@ -297,9 +302,11 @@
             if worker.terminated:
                 continue
             for run in list(worker.runs.values()):
-                if run.in_flight:
+                if run.in_flight or run.phase not in (UNCONFIRMED, STOPPING):
                     continue
-                if run.phase == UNCONFIRMED:
+                if worker.fence_confirmed_s <= run.unanswered_s:
+                    worker.request_immediate_poll(now_s)
+                elif run.phase == UNCONFIRMED:
                     if run.tries < 2 and self.state.may_start():
                         self.send_start(run)
                     else:
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -51,6 +51,8 @@
     :ivar inherited: whether another term started it, so that its start time
         is unknown.
     :ivar in_flight: whether an order for it has no response yet.
+    :ivar unanswered_s: when its latest order ended without a useful
+        response, 0 if none did.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "task",
         "throttle_percent",
         "tries",
+        "unanswered_s",
         "usage",
         "worker",
     )
@@ -102,6 +105,7 @@
         self.tries = 0
         self.inherited = False
         self.in_flight = False
+        self.unanswered_s = 0.0
 
     @property
     def serving(self) -> bool:
@@ -130,6 +134,7 @@
 
     :ivar record: its latest registration.
     :ivar fence: fencing token that it has confirmed, 0 before that.
+    :ivar fence_confirmed_s: when the latest poll that confirmed it was sent.
     :ivar clock_ms: its clock in the response that gives the best lower bound.
     :ivar clock_received_s: when that response arrived.
     :ivar lease_deadline_ms: latest end of the lease of its runs that it may
@@ -165,6 +170,7 @@
         """Initialise with no runs and no responses."""
         self.record = record
         self.fence = 0
+        self.fence_confirmed_s = -1e9
         self.clock_ms = 0
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
