Start nothing on a term that only old responses confirm

Callers would see a task run twice after a pause of the coordinator's process, or while the network is divided: without a confirmed lease it goes on for jobs.grace_s, and it learned of a successor only from a refusal that it had already read. After a pause it started, repeated and copied tasks before its first polls were answered, or in the pass in which they were refused, on a worker that the successor does not reach. If it reached only such a worker, nothing ever told it.

Cause: run_once read `superseded` before the polls and not again before the placement, and the age of a response was counted from its arrival, which a pause delays.

Now State.may_start, which placement, copies, moves and repeated starts go through, also requires State.is_current: not superseded, and either the lease is confirmed or a majority of the workers has accepted the fence in polls sent within the last SUPERSEDED_NOTICE_S. A successor polls all workers at the start of its term, so a majority holds one that refuses, unless the successor reaches only a minority.

Counting from the arrival, or one worker instead of a majority, fails one of the tests.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -162,12 +162,12 @@
     def run_once(self) -> None:
         """Make all decisions that are due and store the progress."""
         state = self.state
+        if state.superseded:
+            return
         now_s = state.clock()
         if now_s >= self.next_tick_s:
             self.next_tick_s = now_s + TICK_S
             self.tick(now_s)
-        if state.superseded:
-            return
         self.poller.poll_due(now_s)
         if state.changed:
             self.placement.run()
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -13,7 +13,7 @@
 from cyclamenscale.jobs.advice import Tickets
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.orders import WorkerOrders
-from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.state import SUPERSEDED_NOTICE_S, State
 from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.worker import Worker
 
@@ -25,10 +25,6 @@
 #: probation.
 MAX_CONSECUTIVE_FAILURES = 3
 
-#: Time within which a superseded leader learns so from a worker; it polls
-#: each worker about twice a second.
-SUPERSEDED_NOTICE_S = 1.5
-
 #: Maximum number of workers of a pool that are reserved for waiting
 #: long-running tasks, one for each task.
 MAX_RESERVATIONS = 4
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -86,13 +86,16 @@
         request = PollRequest(
             self.state.term.fence, worker.last_acknowledged_end
         )
+        sent_s = self.state.clock()
         call = self.calls.poll(worker.record, request, True)
         call.add_done_callback(
-            lambda done: self.handle_immediate_poll_response(worker, done)
+            lambda done: self.handle_immediate_poll_response(
+                worker, done, sent_s
+            )
         )
 
     def handle_immediate_poll_response(
-        self, worker: Worker, done: Future
+        self, worker: Worker, done: Future, sent_s: float
     ) -> None:
         """Handle the response to an immediate poll."""
         now_s = self.state.clock()
@@ -103,7 +106,7 @@
             self.record_failed_poll(worker, error.reason, now_s)
             worker.immediate_poll_due_s = now_s + RETRY_DELAY_S
             return
-        self.handle_response(worker, done.result(), now_s)
+        self.handle_response(worker, done.result(), sent_s, now_s)
 
     def poll(self, worker: Worker) -> None:
         """Renew the lease of a worker's runs and wait for its report."""
@@ -141,19 +144,19 @@
         self, worker: Worker, done: Future, sent_s: float
     ) -> None:
         """Handle the response to a long poll."""
-        state = self.state
-        now_s = state.clock()
+        now_s = self.state.clock()
         worker.poll_in_flight = False
         error = done.exception()
         if error:
             self.record_failed_poll(worker, error.reason, now_s)
             return
-        self.handle_response(worker, done.result(), now_s)
+        self.handle_response(worker, done.result(), sent_s, now_s)
 
     def handle_response(
         self,
         worker: Worker,
         response: WorkerReport | OrderResponse,
+        sent_s: float,
         now_s: float,
     ) -> None:
         """Handle the response to a long or an immediate poll."""
@@ -161,10 +164,14 @@
         if isinstance(response, OrderResponse):
             self.handle_refusal(worker, response, now_s)
         else:
-            self.handle_report(worker, response, now_s)
+            self.handle_report(worker, response, sent_s, now_s)
 
     def handle_report(
-        self, worker: Worker, report: WorkerReport, now_s: float
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        sent_s: float,
+        now_s: float,
     ) -> None:
         """Record that a worker has responded, and apply its report."""
         state = self.state
@@ -179,6 +186,7 @@
         worker.last_response_s = now_s
         first = worker.fence != state.term.fence
         worker.fence = state.term.fence
+        worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
         self.apply_report(worker, report, now_s)
         if worker.last_applied_end > worker.last_acknowledged_end:
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -1,5 +1,6 @@
 """The state of one term, shared by the components of a coordinator."""
 
+from statistics import median_low
 from typing import NamedTuple, Protocol
 
 from cyclamenscale.jobs.job import Job
@@ -18,6 +19,11 @@
 #: alive; workers write about every 1.5 s.
 REGISTRATION_ALIVE_S = 4.0
 
+#: Time within which a superseded leader stops: polls that were sent earlier
+#: are no evidence that it still leads. It polls each worker about twice a
+#: second.
+SUPERSEDED_NOTICE_S = 1.5
+
 
 class LeaseCheck(Protocol):
     """Checks whether this entry holds the leader lease."""
@@ -101,12 +107,34 @@
         """Return whether tasks may be started.
 
         While the store is unavailable the lease can't be confirmed, but no
-        other entry can take over either. A superseded leader learns of its
-        successor from the higher fencing token of the first worker that the
-        successor has polled, and the successor waits for workers that it
-        has not polled.
+        other entry can take over either. If the store serves other entries,
+        a successor polls the workers, which refuse this term from then on,
+        and it waits for those that it has not polled.
+        """
+        grace_s = self.settings.jobs.grace_s
+        return self.lease_confirmed(grace_s) and self.is_current()
+
+    def is_current(self) -> bool:
+        """Return whether the lease or a majority of workers confirm the term.
+
+        Any majority includes a worker that a successor has polled, unless
+        it reaches only a minority. Polls count from when they were sent,
+        since a response may be read long after it was given, for example
+        after a pause of this process.
         """
-        return self.lease_confirmed(self.settings.jobs.grace_s)
+        if self.superseded:
+            return False
+        if self.lease_confirmed():
+            return True
+        confirmed_s = [
+            worker.fence_confirmed_s
+            for worker in self.workers.values()
+            if not worker.terminated
+        ]
+        if not confirmed_s:
+            return False
+        # A majority has confirmed the term at the low median or later.
+        return self.clock() < median_low(confirmed_s) + SUPERSEDED_NOTICE_S
 
     def mark_changed(self) -> None:
         """Record that a placement may have become possible."""
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -130,6 +130,7 @@
 
     :ivar record: its latest registration.
     :ivar fence: fencing token that it has confirmed, 0 before that.
+    :ivar fence_confirmed_s: when the latest poll that confirmed it was sent.
     :ivar clock_ms: its clock in the response that gives the best lower bound.
     :ivar clock_received_s: when that response arrived.
     :ivar lease_deadline_ms: latest end of the lease of its runs that it may
@@ -163,6 +164,7 @@
         """Initialise with no runs and no responses."""
         self.record = record
         self.fence = 0
+        self.fence_confirmed_s = -1e9
         self.clock_ms = 0
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
--- a/test/jobs/test_superseded_coordinator.py
+++ b/test/jobs/test_superseded_coordinator.py
@@ -1,6 +1,22 @@
-"""Test of a coordinator that was paused for longer than its term."""
+"""Tests of a coordinator whose term ended while it was paused or cut off."""
 
+from concurrent.futures import Future
+
+from cyclamenscale.fleet.ports import Resources
+from cyclamenscale.jobs.model import Step
+from cyclamenscale.jobs.state import SUPERSEDED_NOTICE_S
+from cyclamenscale.jobs.worker import UNCONFIRMED
 from test.jobs.test_coordinator_machine import JobsMachine
+from test.jobs.world import World
+
+SMALL = Step(2, Resources(2.0, 4.0), estimate_ms=500.0)
+
+#: Time until a successor starts tasks that may run on a live worker which
+#: it does not reach, and a margin.
+SUCCESSOR_WAIT_S = 5.5
+
+#: Time after which another entry can lead.
+LEADER_LEASE_S = 1.5
 
 
 def test_a_superseded_coordinator_starts_nothing_after_a_pause():
@@ -19,3 +35,119 @@
     machine.wait(4.0)
     machine.act_as_before()
     assert machine.world.violations == []
+
+
+def take_over_without(world, worker):
+    """Begin a term whose coordinator does not reach one worker."""
+    world.take_over("e2")
+    remote = world.workers.workers[worker]
+    remote.unreachable_by.add(world.coordinator.state.term.fence)
+
+
+def test_responses_from_before_a_pause_confirm_nothing(monkeypatch):
+    """Guards against a task that runs twice after a coordinator's pause.
+
+    The workers have responded to the last polls before the pause. When the
+    coordinator resumes, it reads these responses first, finds all workers
+    fresh and makes its decisions before the next responses arrive.
+    """
+    world = World(workers=3)
+    old = world.lead()
+    world.run()
+    unread = []
+    poll = world.workers.poll
+
+    def poll_without_reading(*args):
+        response = Future()
+        unread.append((response, poll(*args).result()))
+        return response
+
+    with monkeypatch.context() as patch:
+        patch.setattr(world.workers, "poll", poll_without_reading)
+        world.run(0.05)
+    world.submit("j1", SMALL)
+    take_over_without(world, "pool-a-0")
+    world.run(SUCCESSOR_WAIT_S)
+    assert len(world.running("j1")) == 2
+    for response, report in unread:
+        response.set_result(report)
+    monkeypatch.setattr(world.workers, "poll", lambda *args: Future())
+    old.run_once()
+    assert world.violations == []
+
+
+def test_an_unanswered_start_is_not_repeated_after_a_pause(monkeypatch):
+    """Guards against a task that runs twice after a coordinator's pause.
+
+    A start is unanswered before the pause. The coordinator would repeat it
+    before it polls, on the worker that its successor does not reach.
+    """
+    world = World(workers=3)
+    old = world.lead()
+    world.run()
+    with monkeypatch.context() as patch:
+        patch.setattr(world.workers.workers["pool-a-0"], "mode", "dark")
+        world.submit("j1", SMALL._replace(count=1))
+        old.placement.run()
+    (run,) = old.state.workers["pool-a-0"].runs.values()
+    assert run.phase == UNCONFIRMED
+    take_over_without(world, "pool-a-0")
+    world.run(SUCCESSOR_WAIT_S)
+    assert len(world.running("j1")) == 1
+    old.run_once()
+    assert world.violations == []
+
+
+def test_one_worker_does_not_confirm_a_superseded_coordinator():
+    """Guards against a task that runs twice while the network is divided.
+
+    The coordinator reaches one worker and not the store; its successor
+    reaches the others, so that no worker can tell the first one.
+    """
+    world = World(workers=3)
+    old = world.lead()
+    world.run()
+    for name in ("pool-a-0", "pool-a-2"):
+        worker = world.workers.workers[name]
+        worker.unreachable_by.add(old.state.term.fence)
+    world.submit("j1", SMALL)
+    world.clock.advance(LEADER_LEASE_S)
+    take_over_without(world, "pool-a-1")
+    for _ in range(55):
+        world.run(0.1)
+        old.run_once()
+    assert world.violations == []
+    assert not old.state.superseded
+    assert len(world.running("j1")) == 2
+
+
+def test_starts_continue_after_a_pause_while_the_store_is_unavailable():
+    """Guards against idle workers after a pause during an outage.
+
+    No other entry can lead, so the first polls after the pause confirm the
+    coordinator again.
+    """
+    world = World()
+    world.lead()
+    world.run()
+    world.submit("j1", SMALL)
+    world.store.mode = "down"
+    world.lease.lose()
+    world.clock.advance(SUPERSEDED_NOTICE_S + 0.5)
+    world.run(0.1)
+    assert len(world.running("j1")) == 2
+
+
+def test_silent_workers_do_not_hold_up_starts_of_a_majority():
+    """Guards against idle workers if some fail while the store is away."""
+    world = World(workers=3)
+    world.lead()
+    world.run()
+    world.store.mode = "down"
+    world.lease.lose()
+    world.workers.workers["pool-a-1"].mode = "dark"
+    world.run(SUPERSEDED_NOTICE_S)
+    world.submit("j1", SMALL)
+    world.coordinator.state.jobs["j1"].needs_confirmed_lease = False
+    world.run()
+    assert len(world.running("j1")) == 2
