Renew no task leases on a term that nothing confirms

Callers would see a task run twice: a successor starts the tasks of a worker that it does not reach once their leases have expired, but the superseded coordinator, which still reached that worker, went on renewing them with its polls, without a bound in a divided network, and once more with its first polls after a pause.

Polls now renew leases only while State.is_current holds: a confirmed lease, or a majority of the workers that has accepted the fence in polls sent within the last 1.5 s. A renewal is thus sent at most 1.5 s after the successor's first polls, which is what the successor waits on top of the longest lease. Polls that renew nothing wait 0.1 s instead of 0.6 s, so that a coordinator that still leads is confirmed before leases of 3 s expire. During an outage of the store for all, leases are renewed as before.

test_a_resumed_coordinator_renews_no_leases_of_a_superseded_term and test_a_divided_coordinator_renews_no_leases fail on the code before with TWICE; test_leases_are_renewed_through_an_outage_of_the_store passes on both. test/jobs and test/platform pass.

--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -61,13 +61,14 @@
 
     def poll_due(self, now_s: float) -> None:
         """Poll the workers whose poll is due."""
+        is_current = self.state.is_current()
         for worker in self.state.workers.values():
             if (
                 not worker.poll_in_flight
                 and not worker.terminated
                 and worker.poll_due_s <= now_s
             ):
-                self.poll(worker)
+                self.poll(worker, is_current)
             if (
                 worker.immediate_poll_due_s
                 and not worker.immediate_poll_in_flight
@@ -108,29 +109,32 @@
             return
         self.handle_response(worker, done.result(), sent_s, now_s)
 
-    def poll(self, worker: Worker) -> None:
-        """Renew the lease of a worker's runs and wait for its report."""
+    def poll(self, worker: Worker, is_current: bool) -> None:
+        """Renew the lease of a worker's runs and wait for its report.
+
+        :param is_current: whether the term is confirmed.
+        """
         state = self.state
-        confirmed = worker.fence == state.term.fence
-        long_poll = confirmed and not worker.failed_polls
-        settings = state.settings.jobs
-        # Unacknowledged ends would end the wait at once.
-        has_unstored_ends = (
-            worker.last_applied_end > worker.last_acknowledged_end
-        )
-        wait_ms = (
-            int(settings.look_s * 1000)
-            if long_poll and not has_unstored_ends
-            else 0
-        )
+        responds = worker.fence == state.term.fence and not worker.failed_polls
         # The lease of a silent worker must expire, and a poll without a
-        # response may have renewed it, so retries don't renew it again.
-        renews = confirmed and not worker.failed_polls
+        # response may have renewed it, so retries don't renew it again. The
+        # leases of a superseded term must expire too: the successor waits
+        # for that on a worker that it does not reach.
+        renews = responds and is_current
+        wait_s = 0.0
+        # Unacknowledged ends would end the wait at once.
+        if responds and (
+            worker.last_applied_end <= worker.last_acknowledged_end
+        ):
+            # Polls of a short wait confirm the term sooner.
+            wait_s = (
+                state.settings.jobs.look_s if is_current else RETRY_DELAY_S
+            )
         request = PollRequest(
             state.term.fence,
             worker.last_acknowledged_end,
             self.orders.extend_lease(worker) if renews else 0,
-            wait_ms,
+            int(wait_s * 1000),
         )
         worker.poll_in_flight = True
         new_connection = worker.failed_polls > 0
--- a/test/jobs/test_superseded_coordinator.py
+++ b/test/jobs/test_superseded_coordinator.py
@@ -151,3 +151,72 @@
     world.coordinator.state.jobs["j1"].needs_confirmed_lease = False
     world.run()
     assert len(world.running("j1")) == 2
+
+
+def test_a_resumed_coordinator_renews_no_leases_of_a_superseded_term():
+    """Guards against a second run beside one whose lease is renewed late.
+
+    A coordinator is paused for 2.5 s while another one takes over, which
+    does not reach a worker that is alive in the registry. The first polls
+    after the pause renew the lease of its runs, before others are refused.
+    """
+    world = World(workers=3)
+    old = world.lead()
+    world.run()
+    world.submit("j1", SMALL)
+    world.run()
+    assert world.running("j1.0.0.0")[0][2] == "pool-a-0"
+    take_over_without(world, "pool-a-0")
+    remote = world.workers.workers["pool-a-0"]
+    for tenth in range(60):
+        world.run(0.1)
+        world.coordinator.register_worker(remote.entry)
+        if tenth >= 25:
+            old.run_once()
+    assert world.violations == []
+    assert len(world.running("j1")) == 2
+
+
+def test_a_divided_coordinator_renews_no_leases():
+    """Guards against a second run while the network is divided.
+
+    The coordinator reaches one worker and not the store; its successor
+    reaches the others, and starts the tasks of that worker elsewhere once
+    their lease has expired.
+    """
+    world = World(workers=3)
+    old = world.lead()
+    world.run()
+    world.submit("j1", SMALL)
+    world.run()
+    for name in ("pool-a-1", "pool-a-2"):
+        worker = world.workers.workers[name]
+        worker.unreachable_by.add(old.state.term.fence)
+    world.run(LEADER_LEASE_S)
+    take_over_without(world, "pool-a-0")
+    for _ in range(60):
+        world.run(0.1)
+        old.run_once()
+    assert world.violations == []
+    assert not old.state.superseded
+    assert len(world.running("j1")) == 2
+
+
+def test_leases_are_renewed_through_an_outage_of_the_store():
+    """Guards against runs that end because the store is unavailable.
+
+    The coordinator is also paused for a moment, so that the first polls
+    after it renew nothing.
+    """
+    world = World()
+    world.lead()
+    world.run()
+    world.submit("j1", SMALL)
+    world.run()
+    before = world.running()
+    world.store.mode = "down"
+    world.lease.lose()
+    world.run(1.0)
+    world.clock.advance(SUPERSEDED_NOTICE_S + 0.5)
+    world.run(2 * world.settings.jobs.grace_s)
+    assert world.running() == before
