--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -61,13 +61,14 @@
 
     def poll_due(self, now_s: float) -> None:
         """Poll the workers whose poll is due."""
+        is_current = self.state.is_current()
         for worker in self.state.workers.values():
             if (
                 not worker.poll_in_flight
                 and not worker.terminated
                 and worker.poll_due_s <= now_s
             ):
-                self.poll(worker)
+                self.poll(worker, is_current)
             if (
                 worker.immediate_poll_due_s
                 and not worker.immediate_poll_in_flight
@@ -86,13 +87,16 @@
         request = PollRequest(
             self.state.term.fence, worker.last_acknowledged_end
         )
+        sent_s = self.state.clock()
         call = self.calls.poll(worker.record, request, True)
         call.add_done_callback(
-            lambda done: self.handle_immediate_poll_response(worker, done)
+            lambda done: self.handle_immediate_poll_response(
+                worker, done, sent_s
+            )
         )
 
     def handle_immediate_poll_response(
-        self, worker: Worker, done: Future
+        self, worker: Worker, done: Future, sent_s: float
     ) -> None:
         """Handle the response to an immediate poll."""
         now_s = self.state.clock()
@@ -103,31 +107,34 @@
             self.record_failed_poll(worker, error.reason, now_s)
             worker.immediate_poll_due_s = now_s + RETRY_DELAY_S
             return
-        self.handle_response(worker, done.result(), now_s)
+        self.handle_response(worker, done.result(), sent_s, now_s)
 
-    def poll(self, worker: Worker) -> None:
-        """Renew the lease of a worker's runs and wait for its report."""
+    def poll(self, worker: Worker, is_current: bool) -> None:
+        """Renew the lease of a worker's runs and wait for its report.
+
+        :param is_current: whether the term is confirmed.
+        """
         state = self.state
-        confirmed = worker.fence == state.term.fence
-        long_poll = confirmed and not worker.failed_polls
-        settings = state.settings.jobs
-        # Unacknowledged ends would end the wait at once.
-        has_unstored_ends = (
-            worker.last_applied_end > worker.last_acknowledged_end
-        )
-        wait_ms = (
-            int(settings.look_s * 1000)
-            if long_poll and not has_unstored_ends
-            else 0
-        )
+        responds = worker.fence == state.term.fence and not worker.failed_polls
         # The lease of a silent worker must expire, and a poll without a
-        # response may have renewed it, so retries don't renew it again.
-        renews = confirmed and not worker.failed_polls
+        # response may have renewed it, so retries don't renew it again. The
+        # leases of a superseded term must expire too: the successor waits
+        # for that on a worker that it does not reach.
+        renews = responds and is_current
+        wait_s = 0.0
+        # Unacknowledged ends would end the wait at once.
+        if responds and (
+            worker.last_applied_end <= worker.last_acknowledged_end
+        ):
+            # Polls of a short wait confirm the term sooner.
+            wait_s = (
+                state.settings.jobs.look_s if is_current else RETRY_DELAY_S
+            )
         request = PollRequest(
             state.term.fence,
             worker.last_acknowledged_end,
             self.orders.extend_lease(worker) if renews else 0,
-            wait_ms,
+            int(wait_s * 1000),
         )
         worker.poll_in_flight = True
         new_connection = worker.failed_polls > 0
@@ -141,19 +148,19 @@
         self, worker: Worker, done: Future, sent_s: float
     ) -> None:
         """Handle the response to a long poll."""
-        state = self.state
-        now_s = state.clock()
+        now_s = self.state.clock()
         worker.poll_in_flight = False
         error = done.exception()
         if error:
             self.record_failed_poll(worker, error.reason, now_s)
             return
-        self.handle_response(worker, done.result(), now_s)
+        self.handle_response(worker, done.result(), sent_s, now_s)
 
     def handle_response(
         self,
         worker: Worker,
         response: WorkerReport | OrderResponse,
+        sent_s: float,
         now_s: float,
     ) -> None:
         """Handle the response to a long or an immediate poll."""
@@ -161,10 +168,14 @@
         if isinstance(response, OrderResponse):
             self.handle_refusal(worker, response, now_s)
         else:
-            self.handle_report(worker, response, now_s)
+            self.handle_report(worker, response, sent_s, now_s)
 
     def handle_report(
-        self, worker: Worker, report: WorkerReport, now_s: float
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        sent_s: float,
+        now_s: float,
     ) -> None:
         """Record that a worker has responded, and apply its report."""
         state = self.state
@@ -179,6 +190,7 @@
         worker.last_response_s = now_s
         first = worker.fence != state.term.fence
         worker.fence = state.term.fence
+        worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
         self.apply_report(worker, report, now_s)
         if worker.last_applied_end > worker.last_acknowledged_end:
