--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from concurrent.futures import Future
+from itertools import count
 
 from cyclamenscale.errors import (
     CallUnansweredError,
@@ -48,10 +49,14 @@
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import encode_record
 from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import chain_future
 
 QUEUE = Queue("replan", "h", "/p/", "pool-a", 0, 2, 1.6, 600.0)
 CAPACITY = Resources(64.0, 256.0, 0)
 
+#: Orders starts and ends that happen at the same virtual time.
+SEQUENCE = count(1)
+
 
 def settled(value=None, error: Exception | None = None) -> Future:
     """Return a future that is already settled."""
@@ -196,6 +201,11 @@
         self.runs: dict[tuple[str, int], float] = {}
         self.ends: list[EndReport] = []
         self.ends_count = 0
+        #: Position in ``SEQUENCE`` of each end, by its number.
+        self.end_positions: dict[int, int] = {}
+        #: Numbers of the ends after which the lease has expired before they
+        #: were acknowledged.
+        self.ends_before_expiry: set[int] = set()
         self.stopped: dict[str, int] = {}
         self.mode = "up"
         #: Fencing tokens of coordinators that do not reach it.
@@ -208,9 +218,11 @@
 
     def expire_lease(self) -> None:
         """Kill all runs once their lease has expired."""
-        if self.runs and self.now_ms() >= self.deadline_ms:
-            for key in list(self.runs):
-                self.end(key, "lapsed")
+        if self.now_ms() < self.deadline_ms:
+            return
+        self.ends_before_expiry.update(end.number for end in self.ends)
+        for key in list(self.runs):
+            self.end(key, "lapsed")
 
     def end(
         self, key: tuple[str, int], outcome: str, checkpoint: str = ""
@@ -218,6 +230,7 @@
         """End a run."""
         del self.runs[key]
         self.ends_count += 1
+        self.end_positions[self.ends_count] = next(SEQUENCE)
         self.ends.append(EndReport(self.ends_count, *key, outcome, checkpoint))
         self.stopped[key[0]] = max(self.stopped.get(key[0], 0), key[1])
 
@@ -230,6 +243,15 @@
         self.world = world
         self.workers: dict[str, FakeWorker] = {}
         self.delayed: list = []
+        #: Reasons for which workers refuse all starts, by worker id.
+        self.refusals: dict[str, str] = {}
+        #: Workers whose polls wait, and the waiting polls.
+        self.polls_held: set[str] = set()
+        self.held_polls: list[tuple] = []
+
+    def refuse_starts(self, worker: str, reason: str) -> None:
+        """Let a worker refuse new calls to start; empty to accept them."""
+        self.refusals[worker] = reason
 
     def deliver(self, record, carry_out, order, is_start=False):
         """Carry out a call according to the worker's mode."""
@@ -243,7 +265,7 @@
         if worker.mode == "late" or (
             is_start and worker.mode == "late_starts"
         ):
-            self.delayed.append(lambda: carry_out(worker))
+            self.delayed.append((worker, carry_out))
             return lost
         response = carry_out(worker)
         return lost if worker.mode == "lost" else settled(response)
@@ -251,11 +273,24 @@
     def release(self) -> None:
         """Carry out the delayed calls."""
         delayed, self.delayed = self.delayed, []
-        for carry_out in delayed:
-            carry_out()
+        for worker, carry_out in delayed:
+            worker.expire_lease()
+            carry_out(worker)
+
+    def hold_polls(self, worker: str) -> None:
+        """Let the polls of a worker wait until :meth:`release_polls`."""
+        self.polls_held.add(worker)
+
+    def release_polls(self) -> None:
+        """Carry out the waiting polls."""
+        self.polls_held.clear()
+        held, self.held_polls = self.held_polls, []
+        for outcome, arguments in held:
+            chain_future(self.poll(*arguments), outcome)
 
     def start(self, worker, order):
         """Start a task."""
+        refusal = self.refusals.get(worker.id, "")
 
         def carry_out(found: FakeWorker) -> OrderResponse:
             clock_ms = found.now_ms()
@@ -263,6 +298,8 @@
             if order.fence < found.fence:
                 return OrderResponse(False, "fence", clock_ms)
             found.fence = order.fence
+            if refusal:
+                return OrderResponse(False, refusal, clock_ms)
             if key in found.runs:
                 return OrderResponse(True, "", clock_ms)
             if order.run <= found.stopped.get(order.task, 0):
@@ -271,6 +308,7 @@
                 return OrderResponse(False, "late", clock_ms)
             found.deadline_ms = max(found.deadline_ms, order.deadline_ms)
             self.world.check_start(found, order)
+            self.world.starts.setdefault(order.task, []).append(next(SEQUENCE))
             self.world.on_start(order)
             found.runs[key] = self.world.clock()
             return OrderResponse(True, "", clock_ms)
@@ -303,6 +341,10 @@
 
     def poll(self, worker, request, new_connection=False):
         """Respond to a poll and renew the lease of the runs."""
+        if worker.id in self.polls_held:
+            outcome: Future = Future()
+            self.held_polls.append((outcome, (worker, request)))
+            return outcome
 
         def carry_out(found: FakeWorker):
             clock_ms = found.now_ms()
@@ -312,7 +354,7 @@
             found.deadline_ms = max(found.deadline_ms, request.deadline_ms)
             for end in found.ends:
                 if end.number <= request.acknowledged_end:
-                    self.world.record_acknowledged(end)
+                    self.world.record_acknowledged(found, end)
             found.ends = [
                 end
                 for end in found.ends
@@ -421,6 +463,8 @@
         self.advice_calls: list = []
         self.acknowledged_done: set[str] = set()
         self.ended_done: set[str] = set()
+        #: Positions in ``SEQUENCE`` of the starts of each task.
+        self.starts: dict[str, list[int]] = {}
         self.failures: Counter[str] = Counter()
         self.attempts = QUEUE.attempts
         self.cancelled: dict[str, float] = {}
@@ -532,13 +576,27 @@
                         self.ended_done.add(key[0])
                     worker.end(key, outcome)
 
-    def record_acknowledged(self, end: EndReport) -> None:
+    def record_acknowledged(self, worker: FakeWorker, end: EndReport) -> None:
         """Record an end that the coordinator has acknowledged."""
         if end.outcome == "done":
             self.acknowledged_done.add(end.task)
+            if end.number not in worker.ends_before_expiry:
+                self.check_started_since(worker, end)
         if end.outcome == "failed":
             self.failures[end.task] += 1
 
+    def check_started_since(self, worker: FakeWorker, end: EndReport) -> None:
+        """Check that a task did not start between its end and now."""
+        job, _, step, _ = end.task.split(".")
+        spec = self.steps[job][int(step)]
+        if spec.allows_copies or spec.long_running:
+            return
+        ended = worker.end_positions[end.number]
+        if any(started > ended for started in self.starts.get(end.task, ())):
+            self.violations.append(
+                f"TWICE: {end.task} started after run {end.run} was done"
+            )
+
     def percent(self, task: str) -> float:
         """Return the progress that is reported for a task."""
         return self.reported_percent.get(task, 100.0)
