Start no task again while a live worker may still report it as done

Cause: an expired lease proves that a run is not running, not that it was not done. Its end is listed until it is acknowledged, and where nothing was running when the lease expired, the platform counts it.

Runs of a worker that is alive in the registry are now kept after their lease until it reports them, at most for REPORT_WAIT_S. Tasks that run until cancelled and tasks with copies don't wait, and a worker that has left the registry counts as gone as before.

--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -17,7 +17,7 @@
 from cyclamenscale.jobs.orders import WorkerOrders
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, WorkerCalls
 from cyclamenscale.jobs.speeds import SpeedMonitor
-from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.state import REPORT_WAIT_S, State
 from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
     RUNNING,
@@ -187,6 +187,7 @@
                 silent_s=round(now_s - worker.last_response_s, 2),
             )
         worker.failed_polls = 0
+        worker.report_awaited = False
         worker.last_response_s = now_s
         first = worker.fence != state.term.fence
         worker.fence = state.term.fence
@@ -449,22 +450,40 @@
                 worker.terminated
                 or (worker.failed_polls and now_s > worker.lease_expiry_s())
             ):
-                self.state.events.note(
-                    "worker.lapsed",
-                    worker=worker.id,
-                    gone=worker.terminated,
-                    runs=len(worker.runs),
-                    silent_s=round(now_s - worker.last_response_s, 2),
-                    extended_age_s=round(now_s - worker.lease_extended_s, 2),
-                    deadline_ms=worker.lease_deadline_ms,
-                    clock_ms=worker.clock_ms,
-                    clock_age_s=round(now_s - worker.clock_received_s, 2),
-                )
-                for run in list(worker.runs.values()):
-                    self.record_end(run, END_EXPIRED, "")
+                self.drop_expired_runs(worker, now_s)
             if self.is_removable(worker, now_s):
                 del self.state.workers[worker.id]
 
+    def drop_expired_runs(self, worker: Worker, now_s: float) -> None:
+        """Drop the runs of a worker whose lease has expired.
+
+        If the worker is alive, runs that may be done are kept until its
+        report tells: the end of a run that was done before the lease expired
+        is still listed, and its task must not start again.
+        """
+        awaits = (
+            self.state.is_alive(worker)
+            and now_s < worker.lease_expiry_s() + REPORT_WAIT_S
+        )
+        runs = list(worker.runs.values())
+        expired = [run for run in runs if not (awaits and run.may_be_done)]
+        if expired or not worker.report_awaited:
+            self.state.events.note(
+                "worker.lapsed",
+                worker=worker.id,
+                gone=worker.terminated,
+                runs=len(expired),
+                awaited=len(runs) - len(expired),
+                silent_s=round(now_s - worker.last_response_s, 2),
+                extended_age_s=round(now_s - worker.lease_extended_s, 2),
+                deadline_ms=worker.lease_deadline_ms,
+                clock_ms=worker.clock_ms,
+                clock_age_s=round(now_s - worker.clock_received_s, 2),
+            )
+        worker.report_awaited = True
+        for run in expired:
+            self.record_end(run, END_EXPIRED, "")
+
     def is_removable(self, worker: Worker, now_s: float) -> bool:
         """Return whether a worker needs no more polls."""
         if worker.runs or worker.poll_in_flight or worker.orders_in_flight:
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -25,6 +25,12 @@
 SUPERSEDED_NOTICE_S = 1.5
 
 
+#: Time after the expiry of a task lease for which the report of a worker that
+#: is alive but does not respond is awaited. Jobs of a few seconds are worth
+#: nothing after it.
+REPORT_WAIT_S = 10.0
+
+
 class LeaseCheck(Protocol):
     """Checks whether this entry holds the leader lease."""
 
@@ -152,17 +158,21 @@
         longest_s = self.task_lease_s / MIN_CLOCK_RATE
         return self.term.began_s + longest_s + LEASE_EXPIRY_MARGIN_S
 
+    def is_alive(self, worker: Worker) -> bool:
+        """Return whether a worker has recently written to the registry."""
+        silent_s = self.clock() - worker.registered_s
+        return not worker.terminated and silent_s < REGISTRATION_ALIVE_S
+
     def unreached_live_workers(self, pool: str) -> bool:
         """Return whether a live worker of a pool has not been polled yet.
 
-        The previous leader may still reach it and start tasks on it.
+        The previous leader may still reach it and start tasks on it, and it
+        may have done tasks whose ends nobody has read.
         """
-        now_s = self.clock()
         return any(
             worker.record.pool == pool
             and worker.fence != self.term.fence
-            and not worker.terminated
-            and now_s - worker.registered_s < REGISTRATION_ALIVE_S
+            and self.is_alive(worker)
             for worker in self.workers.values()
         )
 
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -2,7 +2,9 @@
 
 A run is dropped only once it has certainly ended: the worker listed its
 end, the worker responds as a later incarnation, or the task lease has
-expired on the worker's own clock. Pure: times are passed in.
+expired on the worker's own clock. An expired lease does not tell whether the
+run was done before, which only the worker's report does. Pure: times are
+passed in.
 """
 
 from cyclamenscale.fleet.ports import Resources
@@ -113,6 +115,15 @@
         working = self.phase == RUNNING and self.percent >= 100
         return working and not self.worker.termination_pending
 
+    @property
+    def may_be_done(self) -> bool:
+        """Return whether starting its task again may repeat finished work."""
+        task = self.task
+        if not task or task.done or task.job.ended:
+            return False
+        spec = task.step.spec
+        return not spec.long_running and not spec.allows_copies
+
     @property
     def key(self) -> tuple[str, int]:
         """Return the key of the run on its worker."""
@@ -142,6 +153,8 @@
     :ivar lease_extended_s: when an order or poll that extends that lease was
         last sent.
     :ivar last_response_s: when it last responded to a poll with a report.
+    :ivar report_awaited: whether runs whose lease has expired are kept until
+        it reports how they ended.
     :ivar failed_polls: polls without a report since then.
     :ivar poll_due_s: when the next long poll is due.
     :ivar immediate_poll_due_s: when an immediate poll is due because an
@@ -177,6 +190,7 @@
         self.lease_extended_s = 0.0
         self.first_seen_s = now_s
         self.last_response_s = -1e9
+        self.report_awaited = False
         self.failed_polls = 0
         self.poll_in_flight = False
         self.poll_due_s = now_s
