Let the entries with the most capacity try first to become the leader

Callers of a deployment with 37 entries, six of them on machines with four times the processors and twenty times the bandwidth of the others, would see most of their jobs late or lost whenever one of the 31 small entries led: it can't carry the polls, starts and writes for 179 workers.

Cause: every entry tried to create the leader key within the same 0.08 s of a vacancy, so that each was equally likely to lead.

Each entry now publishes its capacity, filled in from the platform's limits, and groups the known capacities into tiers. Entries within a factor of 1.5 of the best try at once, as before; a lower tier leaves them 0.3 s, at most 0.6 s in all. That is longer than the differences in when entries learn of a vacancy, so that a large entry that is alive and served has tried by then, and well below the lease of 1.5 s, so that little is lost when no large entry is left. There is no fixed size: entries of one size are all in the first tier. A process that has not seen a leader yet waits 0.4 s more, since at the first start the small ones may be ready before the large ones have published anything.

The capacity has a key of its own: records are arrays of fixed length, so builds without it could not decode a longer entry record during a rolling replacement. They ignore the new key.

test_a_large_entry_succeeds_a_lost_leader guards the incident.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -1,4 +1,7 @@
-"""Leader election: acquires the leader key, begins and ends terms."""
+"""Leader election: acquires the leader key, begins and ends terms.
+
+The entries with the most capacity try first (:mod:`.precedence`).
+"""
 
 from collections.abc import Callable
 from concurrent.futures import Future
@@ -7,7 +10,13 @@
 from cyclamenscale.jobs.job_index import JobIndex
 from cyclamenscale.jobs.keys import LEADER
 from cyclamenscale.jobs.leadership import Lease
+from cyclamenscale.jobs.model import EntryCapacity
 from cyclamenscale.jobs.ports import StoreCalls
+from cyclamenscale.jobs.precedence import (
+    capacity_of,
+    rank_tiers,
+    tier_delay_s,
+)
 from cyclamenscale.jobs.state import Term
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import Compare, Put, TxnResult
@@ -24,6 +33,10 @@
 #: Interval of direct reads of the leader key while another entry leads.
 REREAD_INTERVAL_S = 1.0
 
+#: Additional delay of a process that has not seen a leader yet. Entries that
+#: start together publish their capacities within it.
+SETTLING_TIME_S = 0.4
+
 
 class Election:
     """Holds the leader key, or waits until it is free.
@@ -55,6 +68,8 @@
         self.job_index = job_index
         self.events = events
         self.rng = rng
+        self.name = settings.entry.name
+        self.capacity = capacity_of(settings.entry)
         self.begin_term = begin_term
         self.end_term = end_term
         self.lease = Lease(loop.clock)
@@ -65,6 +80,9 @@
         self.next_attempt_s = 0.0
         self.next_renewal_s = 0.0
         self.last_read_s = loop.clock()
+        #: When this process found that there is no leader, None if there is.
+        self.vacant_since_s: float | None = None
+        self.has_seen_leader = False
 
     def run(self) -> None:
         """Renew the lease or try to become the leader, if that is due.
@@ -78,6 +96,7 @@
             and now_s >= self.next_renewal_s
         ):
             self.renew(now_s)
+        self.update_vacancy(now_s)
         if (
             self.term
             or self.competing
@@ -87,11 +106,13 @@
             return
         leader = self.job_index.leader
         if leader is None:
+            if now_s < self.vacant_since_s + self.vacancy_delay_s():
+                return
             self.next_attempt_s = now_s + RETRY_DELAY_S
             self.competing = True
             delay_s = self.rng.random() * MAX_JITTER_S
             self.loop.call_later(delay_s, self.compete)
-        elif leader.node == self.settings.entry.name:
+        elif leader.node == self.name:
             # The holder is an earlier process of this entry, which has ended.
             self.next_attempt_s = now_s + RETRY_DELAY_S
             self.events.note("leader.end_own", lease=leader.lease)
@@ -101,6 +122,23 @@
             self.last_read_s = now_s
             self.store.read(LEADER).add_done_callback(self.handle_reread)
 
+    def update_vacancy(self, now_s: float) -> None:
+        """Record since when there has been no leader."""
+        if self.term or self.job_index.leader:
+            self.has_seen_leader = True
+            self.vacant_since_s = None
+        elif self.eligible and self.vacant_since_s is None:
+            self.vacant_since_s = now_s
+
+    def vacancy_delay_s(self) -> float:
+        """Return the time from a vacancy to this entry's first attempt."""
+        delay_s = tier_delay_s(rank_tiers(self.known_capacities())[self.name])
+        return delay_s + (0.0 if self.has_seen_leader else SETTLING_TIME_S)
+
+    def known_capacities(self) -> dict[str, EntryCapacity]:
+        """Return the capacities of this entry and its peers, by name."""
+        return self.job_index.capacities | {self.name: self.capacity}
+
     def handle_reread(self, done: Future) -> None:
         """Apply a direct read of the leader key."""
         if done.exception():
@@ -134,8 +172,7 @@
 
     def create_key(self) -> None:
         """Try to create the leader key."""
-        name = self.settings.entry.name
-        put = Put(LEADER, name.encode(), self.lease.id)
+        put = Put(LEADER, self.name.encode(), self.lease.id)
 
         def created(done: Future) -> None:
             self.competing = False
@@ -152,12 +189,30 @@
                     return
                 # An earlier attempt succeeded, but its response was lost.
                 fence = found.mod_revision
-            self.term = Term(name, fence, self.loop.clock())
-            self.events.note("leader.won", fence=fence)
+            self.term = Term(self.name, fence, self.loop.clock())
+            self.log_win(self.term)
+            self.update_vacancy(self.term.began_s)
             self.begin_term(self.term)
 
         self.store.txn([Compare(LEADER, 0)], [put]).add_done_callback(created)
 
+    def log_win(self, term: Term) -> None:
+        """Log a won election with the capacities that decided it."""
+        known = self.known_capacities()
+        tiers = rank_tiers(known)
+        since_s = self.vacant_since_s
+        self.events.note(
+            "leader.won",
+            fence=term.fence,
+            tier=tiers[self.name],
+            capacity=self.capacity._asdict(),
+            best=known[min(tiers, key=tiers.get)]._asdict(),
+            entries=len(known),
+            vacant_s=(
+                None if since_s is None else round(term.began_s - since_s, 3)
+            ),
+        )
+
     def renew(self, now_s: float) -> None:
         """Renew the lease."""
         self.renewing = True
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -25,6 +25,7 @@
     ProgressRecord,
     WorkerRecord,
 )
+from cyclamenscale.jobs.precedence import capacity_of
 from cyclamenscale.jobs.presence import Presence
 from cyclamenscale.jobs.registry import WorkerRegistry
 from cyclamenscale.jobs.relay import Relay, Responder
@@ -166,7 +167,7 @@
         self.run_periodically()
 
     def publish_presence(self) -> None:
-        """Publish the address at which peers reach this entry."""
+        """Publish this entry's address and capacity to its peers."""
         entry = self.settings.entry
         self.presence = Presence(
             self.loop,
@@ -174,6 +175,7 @@
             self.events,
             entry.name,
             EntryRecord(self.peer_calls.address, entry.data_centre),
+            capacity_of(entry),
         )
         self.presence.start()
 
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -6,6 +6,7 @@
 from cyclamenscale.jobs.keys import (
     CANCEL,
     ENTRY,
+    ENTRY_CAPACITY,
     FLEET,
     JOB,
     LEADER,
@@ -16,6 +17,7 @@
     CANCELLED,
     FINAL_STATES,
     QUEUED,
+    EntryCapacity,
     EntryRecord,
     FleetRecord,
     JobRecord,
@@ -92,6 +94,8 @@
         self.fleet = FleetRecord()
         #: Locations of the entries by name.
         self.entries: dict[str, EntryRecord] = {}
+        #: Capacities of the entries that publish them, by name.
+        self.capacities: dict[str, EntryCapacity] = {}
         self.revision = 0
         self.loaded = False
 
@@ -133,6 +137,13 @@
             else:
                 record = decode_record(item.value, EntryRecord, key)
                 self.entries[name] = record
+        elif key.startswith(ENTRY_CAPACITY):
+            name = key.removeprefix(ENTRY_CAPACITY)
+            if deleted:
+                self.capacities.pop(name, None)
+            else:
+                capacity = decode_record(item.value, EntryCapacity, key)
+                self.capacities[name] = capacity
         elif key.startswith(CANCEL) and not deleted:
             self.get_or_create(key.removeprefix(CANCEL)).cancelled = True
             self.record_end(key.removeprefix(CANCEL), now_s)
@@ -173,6 +184,7 @@
         """
         self.leader = None
         self.entries = {}
+        self.capacities = {}
         kept = {
             item.key.removeprefix(JOB)
             for item in items
--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -8,6 +8,7 @@
 WAVE = PREFIX + "wave/"
 FLEET = PREFIX + "fleet"
 ENTRY = PREFIX + "entry/"
+ENTRY_CAPACITY = PREFIX + "entry-capacity/"
 
 
 def job_key(job: str) -> str:
@@ -30,6 +31,11 @@
     return ENTRY + name
 
 
+def entry_capacity_key(name: str) -> str:
+    """Return the key of an entry's capacity."""
+    return ENTRY_CAPACITY + name
+
+
 def wave_key(wave: int) -> str:
     """Return the key of a wave's progress."""
     return f"{WAVE}{wave}"
--- a/cyclamenscale/jobs/model.py
+++ b/cyclamenscale/jobs/model.py
@@ -380,6 +380,20 @@
     data_centre: str
 
 
+class EntryCapacity(NamedTuple):
+    """Capacity of an entry's machine, published to its peers.
+
+    It is a record of its own, since builds without it can't decode an
+    :class:`EntryRecord` with more fields.
+
+    :ivar processors: processors that it may use, 0 if unknown.
+    :ivar link_mbps: bandwidth of its network link, 0 if unknown.
+    """
+
+    processors: float = 0.0
+    link_mbps: float = 0.0
+
+
 def task_name(job: str, occurrence: int, step: int, index: int) -> str:
     """Return the name that identifies a task on workers."""
     return f"{job}.{occurrence}.{step}.{index}"
--- a/cyclamenscale/jobs/presence.py
+++ b/cyclamenscale/jobs/presence.py
@@ -1,13 +1,13 @@
-"""Publishes the address of this entry to its peers.
+"""Publishes the address and the capacity of this entry to its peers.
 
-The record is attached to a lease of its own, so that the store removes it
-after the process ends.
+The records are attached to a lease of their own, so that the store removes
+them after the process ends.
 """
 
 from concurrent.futures import Future
 
-from cyclamenscale.jobs.keys import entry_key
-from cyclamenscale.jobs.model import EntryRecord
+from cyclamenscale.jobs.keys import entry_capacity_key, entry_key
+from cyclamenscale.jobs.model import EntryCapacity, EntryRecord
 from cyclamenscale.jobs.ports import StoreCalls
 from cyclamenscale.store.port import Put
 from cyclamenscale.util.codec import encode_record
@@ -15,7 +15,7 @@
 from cyclamenscale.util.loop import Loop
 
 #: Duration of the record's lease, and interval between its renewals. Peers
-#: detect a silent entry by themselves; the lease only removes its record.
+#: detect a silent entry by themselves; the lease only removes its records.
 LEASE_TTL_MS = 10000
 RENEWAL_INTERVAL_S = 3.0
 
@@ -24,12 +24,13 @@
 
 
 class Presence:
-    """Keeps one record in the store while the entry runs.
+    """Keeps the entry's records in the store while it runs.
 
     :param loop: timers.
     :param store: the store.
     :param name: name of this entry.
     :param record: location of this entry.
+    :param capacity: capacity of this entry.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         events: EventLog,
         name: str,
         record: EntryRecord,
+        capacity: EntryCapacity,
     ):
         """Initialise without a lease; :meth:`start` obtains one."""
         self.loop = loop
@@ -46,30 +48,38 @@
         self.events = events
         self.name = name
         self.record = record
+        self.capacity = capacity
         self.lease = 0
         self.stopped = False
 
     def start(self) -> None:
-        """Obtain a new lease, then write the record."""
+        """Obtain a new lease, then write the records."""
         if not self.stopped:
             granted = self.store.grant_lease(LEASE_TTL_MS)
             granted.add_done_callback(self.handle_grant)
 
     def stop(self) -> None:
-        """Remove the record from the store."""
+        """Remove the records from the store."""
         self.stopped = True
         if self.lease:
             ended = self.store.revoke_lease(self.lease)
             ended.add_done_callback(self.log_failure)
 
     def handle_grant(self, done: Future) -> None:
-        """Write the record under the new lease."""
+        """Write the records under the new lease."""
         if self.log_failure(done):
             self.loop.call_later(RETRY_DELAY_S, self.start)
             return
         self.lease = done.result()
-        put = Put(entry_key(self.name), encode_record(self.record), self.lease)
-        self.store.txn([], [put]).add_done_callback(self.handle_write)
+        records = {
+            entry_key(self.name): self.record,
+            entry_capacity_key(self.name): self.capacity,
+        }
+        puts = [
+            Put(key, encode_record(record), self.lease)
+            for key, record in records.items()
+        ]
+        self.store.txn([], puts).add_done_callback(self.handle_write)
 
     def handle_write(self, done: Future) -> None:
         """Schedule the first renewal of the lease."""
--- a/cyclamenscale/settings.py
+++ b/cyclamenscale/settings.py
@@ -46,6 +46,17 @@
     peers_address: Annotated[Listen, "where the peer link listens"] = (
         "127.0.0.1:0"
     )
+    processors: Annotated[
+        float, Range(0, 10000), "processors of its machine, 0 if unknown"
+    ] = 0.0
+    processor_share: Annotated[
+        float, Range(0, 10000), "share of each of them that it may use"
+    ] = 1.0
+    link_mbps: Annotated[
+        float,
+        Range(0, 10000000),
+        "bandwidth of its machine's network link, 0 if unknown",
+    ] = 0.0
 
 
 class PeersSettings(NamedTuple):
--- a/cyclamenscale/settings_schema.py
+++ b/cyclamenscale/settings_schema.py
@@ -206,6 +206,7 @@
     ("_ms", "ms"),
     ("_s", "s"),
     ("_bytes", "bytes"),
+    ("_mbps", "Mbit/s"),
 )
 
 
--- /dev/null
+++ b/test/jobs/test_election.py
@@ -0,0 +1,352 @@
+"""Tests of the election of a leader among entries, on a virtual clock."""
+
+from random import Random
+
+import pytest
+
+from cyclamenscale.errors import StoreUnavailableError
+from cyclamenscale.jobs.election import MAX_JITTER_S, Election
+from cyclamenscale.jobs.job_index import JobIndex
+from cyclamenscale.jobs.keys import ENTRY, LEADER, PREFIX
+from cyclamenscale.jobs.model import EntryCapacity, EntryRecord
+from cyclamenscale.jobs.precedence import capacity_of, rank_tiers
+from cyclamenscale.jobs.presence import Presence
+from cyclamenscale.settings import EntrySettings, Settings
+from cyclamenscale.util.events import EventLog
+from test.jobs.test_acceptance import FakeLoop
+from test.jobs.world import FakeStore, settled
+
+#: Delay of watch events and interval of an entry's periodic work.
+WATCH_DELAY_S = 0.1
+PERIOD_S = 0.1
+
+#: Time of one attempt: watch event, periodic work, jitter, step of the loop.
+ATTEMPT_S = WATCH_DELAY_S + PERIOD_S + MAX_JITTER_S + 0.05
+
+#: Lease of a leader that fails; entries that wait for others lose less.
+LEASE_TTL_S = Settings().jobs.lease_ttl_ms / 1000
+
+LARGE = {"processors": 3.0, "processor_share": 0.717, "link_mbps": 200.0}
+SMALL = {"processors": 1.0, "processor_share": 0.516, "link_mbps": 10.0}
+
+
+class Link(FakeStore):
+    """One entry's link to the store that all entries share."""
+
+    def __init__(self, store):
+        """Initialise as a working link."""
+        super().__init__()
+        self.store = store
+
+    def grant_lease(self, ttl_ms):
+        """Grant a lease."""
+        return self.call(self.store.grant_lease, ttl_ms)
+
+    def renew_lease(self, lease):
+        """Renew a lease."""
+        return self.call(self.store.renew_lease, lease)
+
+    def revoke_lease(self, lease):
+        """Revoke a lease."""
+        return self.call(self.store.revoke_lease, lease)
+
+    def txn(self, compares, writes):
+        """Apply a transaction."""
+        return self.call(self.store.txn, compares, writes)
+
+    def read(self, key):
+        """Read a key."""
+        return self.call(self.store.read, key)
+
+    def call(self, call, *arguments):
+        """Pass a call on unless the link is down."""
+        if self.mode == "down":
+            return settled(error=StoreUnavailableError("call", "test"))
+        return call(*arguments)
+
+
+class Member:
+    """An entry with its election, its index and its own link to the store."""
+
+    def __init__(self, group, name, **size):
+        """Initialise without records; :meth:`start` publishes them."""
+        self.group = group
+        self.name = name
+        self.loop = group.loop
+        self.store = Link(group.store)
+        self.job_index = JobIndex()
+        self.running = False
+        settings = Settings(entry=EntrySettings(name=name, **size))
+        events = EventLog(name, -1, self.loop.clock)
+        self.election = Election(
+            settings,
+            self.loop,
+            self.store,
+            self.job_index,
+            events,
+            group.rng,
+            lambda term: None,
+            lambda why: None,
+        )
+        self.presence = Presence(
+            self.loop,
+            self.store,
+            events,
+            name,
+            EntryRecord("10.0.0.1:7000", "dc-1"),
+            capacity_of(settings.entry),
+        )
+
+    def start(self):
+        """Publish the records and begin periodic work."""
+        self.running = True
+        self.election.eligible = True
+        self.presence.start()
+        self.run()
+
+    def run(self):
+        """Apply what the watch delivers, then do periodic work."""
+        if self.running:
+            self.job_index.replace(
+                self.group.delivered_items(), 0, self.loop.clock()
+            )
+            self.election.run()
+            self.loop.call_later(PERIOD_S, self.run)
+
+    def crash(self):
+        """Stop without withdrawing the records."""
+        self.running = False
+        self.store.mode = "down"
+
+
+class Group:
+    """Entries that share one store."""
+
+    def __init__(self, seed=0):
+        """Initialise with no entries."""
+        self.rng = Random(seed)
+        self.loop = FakeLoop()
+        self.store = FakeStore()
+        self.members: dict[str, Member] = {}
+        #: Contents of the store by the time they changed.
+        self.history = []
+
+    def add(self, prefix, count, **size):
+        """Add entries that have not started."""
+        for number in range(count):
+            name = f"{prefix}-{number}"
+            self.members[name] = Member(self, name, **size)
+        return [self.members[f"{prefix}-{n}"] for n in range(count)]
+
+    def delivered_items(self):
+        """Return the contents of the store before the delay of watches."""
+        before_s = self.loop.clock() - WATCH_DELAY_S
+        found = []
+        for time_s, items in self.history:
+            if time_s <= before_s:
+                found = items
+        return found
+
+    def wait(self, for_s, until=lambda: False):
+        """Advance the clock; return how long it took."""
+        began_s = self.loop.clock()
+        while self.loop.clock() < began_s + for_s and not until():
+            self.loop.advance(0.05)
+            items = list(self.store.items.values())
+            self.history.append((self.loop.clock(), items))
+            del self.history[:-10]
+        return self.loop.clock() - began_s
+
+    def wait_for_leader(self, for_s=10.0):
+        """Wait until an entry leads; return how long it took."""
+        took_s = self.wait(for_s, lambda: LEADER in self.store.items)
+        assert LEADER in self.store.items
+        return took_s
+
+    def start(self, members):
+        """Start entries in random order within 0.3 s."""
+        for member in members:
+            self.loop.call_later(self.rng.random() * 0.3, member.start)
+
+    def settle(self):
+        """Start all entries, wait for a leader that all of them know."""
+        self.start(self.members.values())
+        self.wait_for_leader()
+        self.wait(1.0)
+
+    @property
+    def leader(self):
+        """Return the entry that leads."""
+        return self.members[self.store.items[LEADER].value.decode()]
+
+    def end_leader(self):
+        """Let the leader crash and its lease expire."""
+        self.leader.crash()
+        del self.store.items[LEADER]
+
+
+def unequal_group(seed):
+    """Return a group, its large and its small entries."""
+    group = Group(seed)
+    small, large = group.add("small", 31, **SMALL), group.add("l", 6, **LARGE)
+    return group, large, small
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_large_entry_succeeds_a_lost_leader(seed):
+    """Guards against a leader too small for the traffic of all workers.
+
+    37 entries, six of them on machines with four times the processors and
+    twenty times the bandwidth of the others. The leader polls 179 workers;
+    one of the small entries served 0.187 of the requests as the leader.
+    """
+    group, large, _ = unequal_group(seed)
+    group.settle()
+    for _ in range(5):
+        group.end_leader()
+        group.wait_for_leader()
+        assert group.leader in large
+        group.wait(1.0)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_large_entry_leads_first_though_all_start_at_once(seed):
+    """Guards against a small leader that was merely the first to start."""
+    group, large, small = unequal_group(seed)
+    for member in small[:3]:
+        member.start()
+    group.start(large + small[3:])
+    group.wait_for_leader()
+    assert group.leader in large
+
+
+def test_entries_of_one_size_compete_at_once():
+    """Guards against equal entries that wait for one another."""
+    leaders = set()
+    for seed in range(8):
+        group = Group(seed)
+        group.add("e", 9, **SMALL)
+        group.settle()
+        group.end_leader()
+        assert group.wait_for_leader() <= ATTEMPT_S
+        leaders.add(group.leader.name)
+    assert len(leaders) > 1
+
+
+def test_small_entries_lead_once_all_large_ones_are_lost():
+    """Guards against a vacancy that lasts while nobody large is left."""
+    group, large, _ = unequal_group(1)
+    group.settle()
+    for member in large:
+        if member is not group.leader:
+            member.crash()
+    group.end_leader()
+    # The records of the lost entries are still in the store.
+    assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
+    assert group.leader not in large
+
+
+def test_small_entries_lead_while_the_store_refuses_the_large_ones():
+    """Guards against a vacancy that lasts while large entries can't lead."""
+    group, large, _ = unequal_group(2)
+    group.settle()
+    for member in large:
+        member.store.mode = "down"
+    del group.store.items[LEADER]
+    assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
+    assert group.leader not in large
+
+
+def test_the_delay_is_bounded_for_any_number_of_sizes():
+    """Guards against a vacancy that grows with the variety of machines."""
+    group = Group(3)
+    for power in range(12):
+        group.add(f"size{power}", 1, processors=2.0**power)
+    group.settle()
+    smallest, *others = group.members.values()
+    for member in others:
+        member.crash()
+    del group.store.items[LEADER]
+    assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
+    assert group.leader is smallest
+
+
+def test_a_single_entry_leads_soon_after_its_start():
+    """Guards against a long wait for peers that don't exist."""
+    group = Group()
+    group.add("e", 1, **SMALL)[0].start()
+    assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
+
+
+def test_tiers_follow_the_scarcest_resource():
+    """Guards against a leader with many processors behind a slow link."""
+    tiers = rank_tiers(
+        {
+            "slow-link": EntryCapacity(4.0, 10.0),
+            "even": EntryCapacity(2.0, 100.0),
+            "nearly-even": EntryCapacity(1.5, 100.0),
+            "tiny": EntryCapacity(0.2, 1.0),
+        }
+    )
+    assert tiers == {"even": 0, "nearly-even": 0, "slow-link": 1, "tiny": 2}
+
+
+def test_unknown_capacities_count_as_equal():
+    """Guards against entries that never lead as their size is unknown."""
+    unknown = EntryCapacity()
+    assert rank_tiers({"a": unknown, "b": unknown}) == {"a": 0, "b": 0}
+    known = {"a": unknown, "b": EntryCapacity(2.0, 100.0)}
+    assert rank_tiers(known) == {"a": 0, "b": 0}
+    assert capacity_of(EntrySettings()) == unknown
+
+
+def test_the_processors_are_those_that_the_entry_may_use():
+    """Guards against many processors with a small share of each."""
+    settings = EntrySettings(processors=8, processor_share=0.25, link_mbps=50)
+    assert capacity_of(settings) == EntryCapacity(2.0, 50.0)
+
+
+def test_records_of_entries_are_read_by_builds_without_capacities():
+    """Guards against a rolling replacement in which peers lose each other.
+
+    Records are arrays of fixed length: a build can't decode a location with
+    more fields than it knows, and ignores keys with other prefixes.
+    """
+    group = Group()
+    (member,) = group.add("new", 1, **LARGE)
+    member.presence.start()
+    locations = {
+        key: item.value
+        for key, item in group.store.items.items()
+        if key.startswith(ENTRY)
+    }
+    assert locations == {f"{ENTRY}new-0": b'["10.0.0.1:7000","dc-1"]'}
+
+
+def test_peers_that_publish_no_capacity_are_not_waited_for():
+    """Guards against a vacancy while entries of an older build run."""
+    group = Group()
+    (member,) = group.add("new", 1, **SMALL)
+    member.start()
+    group.wait(1.0)
+    group.store.put(f"{ENTRY}old", b'["10.0.0.2:7000","dc-1"]')
+    group.wait(1.0)
+    assert set(member.job_index.entries) == {"old", "new-0"}
+    del group.store.items[LEADER]
+    member.election.resign("test")
+    assert group.wait_for_leader() <= 2 * ATTEMPT_S
+
+
+def test_capacities_are_forgotten_with_their_entries():
+    """Guards against a delay in favour of entries that have left."""
+    group = Group()
+    (member,) = group.add("e", 1, **LARGE)
+    member.presence.start()
+    index = JobIndex()
+    items = list(group.store.items.values())
+    assert index.replace(items, 5, 1.0) == []
+    assert index.capacities == {"e-0": EntryCapacity(3.0 * 0.717, 200.0)}
+    for item in items:
+        assert item.key.startswith(PREFIX)
+        index.apply(item._replace(value=b"", create_revision=0), 2.0)
+    assert index.capacities == index.entries == {}
