Let a small leader resign at the request of a larger entry

Callers would see the service of a small leader for as long as it runs, though large entries are back: nothing ended its term. A small entry leads after the store refused or lost all large ones at once, even briefly.

An entry that has followed a leader of a lower tier for 10 s writes a request to lead, under the lease of its own records, and the leader resigns. A takeover costs a few seconds, so this must stay rare and must not repeat: - An entry that the store refuses can't write the request. - The request counts only if its revision is above the leader's fence, so it ends one term at most; a further one takes another 10 s. - Capacity decides in one direction only: leaders ignore requests from entries of their own tier or a lower one. The leader ends its own term and revokes its own lease as it does when it stops, so that no other rule about terms changes.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -1,13 +1,16 @@
 """Leader election: acquires the leader key, begins and ends terms.
 
-The entries with the most capacity try first (:mod:`.precedence`).
+The entries with the most capacity try first (:mod:`.precedence`). One that
+finds a smaller leader asks it to resign. The request is a write of its own,
+so an entry that the store refuses can't ask, and the revision of the write
+shows which term it asks to end.
 """
 
 from collections.abc import Callable
 from concurrent.futures import Future
 from random import Random
 
-from cyclamenscale.jobs.job_index import JobIndex
+from cyclamenscale.jobs.job_index import JobIndex, Leader
 from cyclamenscale.jobs.keys import LEADER
 from cyclamenscale.jobs.leadership import Lease
 from cyclamenscale.jobs.model import EntryCapacity
@@ -37,6 +40,10 @@
 #: start together publish their capacities within it.
 SETTLING_TIME_S = 0.4
 
+#: Time under a smaller leader after which an entry asks to lead. Long
+#: compared with the pauses of a takeover.
+REQUEST_DELAY_S = 10.0
+
 
 class Election:
     """Holds the leader key, or waits until it is free.
@@ -47,6 +54,7 @@
     :param job_index: has the current leader.
     :param begin_term: called with the :class:`Term` when it begins.
     :param end_term: called with the reason when the term ends.
+    :param request_lead: writes this entry's request to lead.
     :ivar eligible: whether this entry may become the leader.
     """
 
@@ -60,6 +68,7 @@
         rng: Random,
         begin_term: Callable[[Term], None],
         end_term: Callable[[str], None],
+        request_lead: Callable[[], None],
     ):
         """Initialise as a follower."""
         self.settings = settings
@@ -72,6 +81,7 @@
         self.capacity = capacity_of(settings.entry)
         self.begin_term = begin_term
         self.end_term = end_term
+        self.request_lead = request_lead
         self.lease = Lease(loop.clock)
         self.term: Term | None = None
         self.eligible = False
@@ -83,6 +93,8 @@
         #: When this process found that there is no leader, None if there is.
         self.vacant_since_s: float | None = None
         self.has_seen_leader = False
+        self.followed_fence = 0
+        self.next_request_s = 0.0
 
     def run(self) -> None:
         """Renew the lease or try to become the leader, if that is due.
@@ -96,6 +108,7 @@
             and now_s >= self.next_renewal_s
         ):
             self.renew(now_s)
+        self.hand_over()
         self.update_vacancy(now_s)
         if (
             self.term
@@ -117,10 +130,39 @@
             self.next_attempt_s = now_s + RETRY_DELAY_S
             self.events.note("leader.end_own", lease=leader.lease)
             self.revoke_lease(leader.lease)
-        elif now_s - self.last_read_s > REREAD_INTERVAL_S:
+        else:
+            self.follow(leader, now_s)
+
+    def follow(self, leader: Leader, now_s: float) -> None:
+        """Check the current leader while another entry leads."""
+        if now_s - self.last_read_s > REREAD_INTERVAL_S:
             # The watch may be behind.
             self.last_read_s = now_s
             self.store.read(LEADER).add_done_callback(self.handle_reread)
+        if leader.fence != self.followed_fence:
+            self.followed_fence = leader.fence
+            self.next_request_s = now_s + REQUEST_DELAY_S
+        elif now_s >= self.next_request_s:
+            self.next_request_s = now_s + REQUEST_DELAY_S
+            tiers = rank_tiers(self.known_capacities())
+            if tiers[self.name] < tiers.get(leader.node, 0):
+                self.events.note("leader.requested", leader=leader.node)
+                self.request_lead()
+
+    def hand_over(self) -> None:
+        """End the term if an entry with more capacity asks to lead."""
+        if not self.term:
+            return
+        requests = self.job_index.lead_requests
+        current = [n for n in requests if requests[n] > self.term.fence]
+        if not current:
+            return
+        tiers = rank_tiers(self.known_capacities())
+        own_tier = tiers[self.name]
+        for name in current:
+            if tiers.get(name, own_tier) < own_tier:
+                self.resign(f"{name} has more capacity")
+                return
 
     def update_vacancy(self, now_s: float) -> None:
         """Record since when there has been no leader."""
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -134,6 +134,7 @@
             rng,
             self.begin_term,
             self.end_term,
+            self.request_lead,
         )
         wait_ms = settings.jobs.watch_ms
         self.job_watch = PrefixWatch(
@@ -179,6 +180,11 @@
         )
         self.presence.start()
 
+    def request_lead(self) -> None:
+        """Ask the leader to resign in favour of this entry."""
+        if self.presence:
+            self.presence.request_lead()
+
     def run_periodically(self) -> None:
         """Do periodic work and schedule the next round."""
         self.loop.call_later(PERIOD_S, self.run_periodically)
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -9,6 +9,7 @@
     ENTRY_CAPACITY,
     FLEET,
     JOB,
+    LEAD_REQUEST,
     LEADER,
     PROGRESS,
     WAVE,
@@ -96,6 +97,8 @@
         self.entries: dict[str, EntryRecord] = {}
         #: Capacities of the entries that publish them, by name.
         self.capacities: dict[str, EntryCapacity] = {}
+        #: Revisions of the entries' latest requests to lead, by name.
+        self.lead_requests: dict[str, int] = {}
         self.revision = 0
         self.loaded = False
 
@@ -144,6 +147,12 @@
             else:
                 capacity = decode_record(item.value, EntryCapacity, key)
                 self.capacities[name] = capacity
+        elif key.startswith(LEAD_REQUEST):
+            name = key.removeprefix(LEAD_REQUEST)
+            if deleted:
+                self.lead_requests.pop(name, None)
+            else:
+                self.lead_requests[name] = item.mod_revision
         elif key.startswith(CANCEL) and not deleted:
             self.get_or_create(key.removeprefix(CANCEL)).cancelled = True
             self.record_end(key.removeprefix(CANCEL), now_s)
@@ -185,6 +194,7 @@
         self.leader = None
         self.entries = {}
         self.capacities = {}
+        self.lead_requests = {}
         kept = {
             item.key.removeprefix(JOB)
             for item in items
--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -9,6 +9,7 @@
 FLEET = PREFIX + "fleet"
 ENTRY = PREFIX + "entry/"
 ENTRY_CAPACITY = PREFIX + "entry-capacity/"
+LEAD_REQUEST = PREFIX + "lead-request/"
 
 
 def job_key(job: str) -> str:
@@ -36,6 +37,11 @@
     return ENTRY_CAPACITY + name
 
 
+def lead_request_key(name: str) -> str:
+    """Return the key of an entry's request to lead."""
+    return LEAD_REQUEST + name
+
+
 def wave_key(wave: int) -> str:
     """Return the key of a wave's progress."""
     return f"{WAVE}{wave}"
--- a/cyclamenscale/jobs/presence.py
+++ b/cyclamenscale/jobs/presence.py
@@ -6,7 +6,11 @@
 
 from concurrent.futures import Future
 
-from cyclamenscale.jobs.keys import entry_capacity_key, entry_key
+from cyclamenscale.jobs.keys import (
+    entry_capacity_key,
+    entry_key,
+    lead_request_key,
+)
 from cyclamenscale.jobs.model import EntryCapacity, EntryRecord
 from cyclamenscale.jobs.ports import StoreCalls
 from cyclamenscale.store.port import Put
@@ -65,6 +69,13 @@
             ended = self.store.revoke_lease(self.lease)
             ended.add_done_callback(self.log_failure)
 
+    def request_lead(self) -> None:
+        """Write a request to lead, removed with the records."""
+        if self.lease and not self.stopped:
+            put = Put(lead_request_key(self.name), b"1", self.lease)
+            written = self.store.txn([], [put])
+            written.add_done_callback(self.log_failure)
+
     def handle_grant(self, done: Future) -> None:
         """Write the records under the new lease."""
         if self.log_failure(done):
--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -5,7 +5,11 @@
 import pytest
 
 from cyclamenscale.errors import StoreUnavailableError
-from cyclamenscale.jobs.election import MAX_JITTER_S, Election
+from cyclamenscale.jobs.election import (
+    MAX_JITTER_S,
+    REQUEST_DELAY_S,
+    Election,
+)
 from cyclamenscale.jobs.job_index import JobIndex
 from cyclamenscale.jobs.keys import ENTRY, LEADER, PREFIX
 from cyclamenscale.jobs.model import EntryCapacity, EntryRecord
@@ -87,6 +91,7 @@
             group.rng,
             lambda term: None,
             lambda why: None,
+            self.request_lead,
         )
         self.presence = Presence(
             self.loop,
@@ -97,6 +102,11 @@
             capacity_of(settings.entry),
         )
 
+    def request_lead(self):
+        """Write a request to lead."""
+        self.group.requests += 1
+        self.presence.request_lead()
+
     def start(self):
         """Publish the records and begin periodic work."""
         self.running = True
@@ -128,6 +138,7 @@
         self.loop = FakeLoop()
         self.store = FakeStore()
         self.members: dict[str, Member] = {}
+        self.requests = 0
         #: Contents of the store by the time they changed.
         self.history = []
 
@@ -179,16 +190,22 @@
         """Return the entry that leads."""
         return self.members[self.store.items[LEADER].value.decode()]
 
+    @property
+    def fence(self):
+        """Return the fencing token of the current term."""
+        return self.store.items[LEADER].mod_revision
+
     def end_leader(self):
         """Let the leader crash and its lease expire."""
         self.leader.crash()
         del self.store.items[LEADER]
 
 
-def unequal_group(seed):
+def unequal_group(seed, small_count=31, large_count=6):
     """Return a group, its large and its small entries."""
     group = Group(seed)
-    small, large = group.add("small", 31, **SMALL), group.add("l", 6, **LARGE)
+    small = group.add("small", small_count, **SMALL)
+    large = group.add("large", large_count, **LARGE)
     return group, large, small
 
 
@@ -257,6 +274,75 @@
     assert group.leader not in large
 
 
+def small_leader_group(seed):
+    """Return a group that a small entry leads, and its large entries."""
+    group, large, _ = unequal_group(seed, 4, 3)
+    group.settle()
+    for member in large:
+        member.store.mode = "down"
+    del group.store.items[LEADER]
+    group.wait_for_leader()
+    assert group.leader not in large
+    return group, large
+
+
+def test_a_small_leader_hands_over_once_a_large_entry_is_back():
+    """Guards against a small leader that stays after an outage is over.
+
+    The store refused all large entries for a while; their records stayed.
+    """
+    group, large = small_leader_group(3)
+    group.wait(5.0)
+    for member in large:
+        member.store.mode = "up"
+    group.wait(REQUEST_DELAY_S + 1.0)
+    assert group.leader in large
+    fence = group.fence
+    group.wait(5 * REQUEST_DELAY_S)
+    assert group.fence == fence
+    assert group.requests <= len(large)
+
+
+def test_a_small_leader_stays_while_the_store_refuses_the_large_ones():
+    """Guards against a leader that resigns to entries that can't lead."""
+    group, _ = small_leader_group(4)
+    fence = group.fence
+    group.wait(5 * REQUEST_DELAY_S)
+    assert group.fence == fence
+    assert group.requests > 0
+
+
+def test_a_request_ends_no_later_term():
+    """Guards against repeated resignations for one request.
+
+    The large entries ask to lead and are refused before they can.
+    """
+    group, large = small_leader_group(5)
+    for member in large:
+        member.store.mode = "up"
+        member.request_lead()
+        member.store.mode = "down"
+    first_fence = group.fence
+    group.wait(2.0)
+    second_fence = group.fence
+    assert second_fence > first_fence
+    assert group.leader not in large
+    group.wait(5 * REQUEST_DELAY_S)
+    assert group.fence == second_fence
+
+
+def test_a_leader_does_not_resign_to_an_equal_or_smaller_entry():
+    """Guards against takeovers that gain nothing."""
+    group, _, _ = unequal_group(6, 4, 3)
+    group.settle()
+    fence = group.fence
+    for member in group.members.values():
+        member.request_lead()
+    group.wait(5 * REQUEST_DELAY_S)
+    assert group.fence == fence
+    assert group.requests == len(group.members)
+
+
 def test_the_delay_is_bounded_for_any_number_of_sizes():
     """Guards against a vacancy that grows with the variety of machines."""
     group = Group(3)
--- a/test/platform/test_program.py
+++ b/test/platform/test_program.py
@@ -28,11 +28,11 @@
 class Entry:
     """A job entry in this process, with its servers."""
 
-    def __init__(self, platform, name="e1", store=""):
+    def __init__(self, platform, name="e1", store="", processors=0.0):
         """Start the loop and the servers."""
         address = platform.server.address
         settings = Settings(
-            entry=EntrySettings(name=name),
+            entry=EntrySettings(name=name, processors=processors),
             store=StoreSettings(address=store or address),
             platform=PlatformSettings(address=address),
             jobs=JobsSettings(look_s=0.1, watch_ms=300, lease_ttl_ms=1000),
@@ -243,6 +243,24 @@
         other.stop()
 
 
+def test_a_small_leader_resigns_at_the_request_of_a_larger_entry(platform):
+    """Guards against a request to lead that is lost between two entries."""
+    small = Entry(platform, "e1", processors=0.5)
+    large = None
+    try:
+        small.wait_for(lambda: small.program.entry.coordinator)
+        large = Entry(platform, "e2", processors=2.0)
+        large.wait_for(large.program.entry.is_ready)
+        small.wait_for(lambda: len(small.program.entry.job_index.entries) == 2)
+        large.program.loop.submit(large.program.entry.request_lead)
+        large.wait_for(lambda: large.program.entry.coordinator)
+        small.wait_for(lambda: not small.program.entry.coordinator)
+    finally:
+        small.stop()
+        if large:
+            large.stop()
+
+
 def test_an_older_manifest_does_not_replace_a_newer_one(entry, platform):
     """Guards against an older manifest that arrives late."""
     from test.platform.standin import MANIFEST
