Elect at once after a restart of all entries

Callers' tasks expired after a short loss of power of all entries: no entry tried to lead during its first 0.4 s, in which it waits for its peers to publish their capacities. The leases of the tasks run on meanwhile.

The wait is needed only when the peers are not known yet. The records have leases of 10 s, so if an entry finds the record of its own earlier process in its first read of the store, those of its peers are there as well. It now publishes its own after that read, so that it can't take the new one for the old one.

If the wait is left out altogether, test_a_large_entry_leads_first_though_all_start_at_once fails, as it should.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -36,8 +36,8 @@
 #: Interval of direct reads of the leader key while another entry leads.
 REREAD_INTERVAL_S = 1.0
 
-#: Additional delay of a process that has not seen a leader yet. Entries that
-#: start together publish their capacities within it.
+#: Additional delay of a process that may not know its peers yet. Entries
+#: that start together publish their capacities within it.
 SETTLING_TIME_S = 0.4
 
 #: Time under a smaller leader after which an entry asks to lead. Long
@@ -92,7 +92,7 @@
         self.last_read_s = loop.clock()
         #: When this process found that there is no leader, None if there is.
         self.vacant_since_s: float | None = None
-        self.has_seen_leader = False
+        self.peers_known = False
         self.followed_fence = 0
         self.next_request_s = 0.0
 
@@ -164,10 +164,19 @@
                 self.resign(f"{name} has more capacity")
                 return
 
+    def handle_first_read(self) -> None:
+        """Check whether the peers are known from before a restart.
+
+        Called after the first read of the store and before this entry
+        publishes its capacity. If the record of its earlier process has not
+        expired, neither have those of its peers.
+        """
+        self.peers_known = self.name in self.job_index.capacities
+
     def update_vacancy(self, now_s: float) -> None:
         """Record since when there has been no leader."""
         if self.term or self.job_index.leader:
-            self.has_seen_leader = True
+            self.peers_known = True
             self.vacant_since_s = None
         elif self.eligible and self.vacant_since_s is None:
             self.vacant_since_s = now_s
@@ -175,7 +184,7 @@
     def vacancy_delay_s(self) -> float:
         """Return the time from a vacancy to this entry's first attempt."""
         delay_s = tier_delay_s(rank_tiers(self.known_capacities())[self.name])
-        return delay_s + (0.0 if self.has_seen_leader else SETTLING_TIME_S)
+        return delay_s + (0.0 if self.peers_known else SETTLING_TIME_S)
 
     def known_capacities(self) -> dict[str, EntryCapacity]:
         """Return the capacities of this entry and its peers, by name."""
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -162,7 +162,6 @@
         self.events.note("entry.start", settings=self.settings.entry._asdict())
         if self.responder:
             self.peer_calls.start(self.responder.handle)
-            self.publish_presence()
         self.job_watch.start()
         self.operator_watch.start()
         self.run_periodically()
@@ -201,6 +200,9 @@
     def replace_jobs(self, items: list[KeyValue], revision: int) -> None:
         """Apply a full read of the jobs."""
         self.load_index(items, revision)
+        if self.responder and not self.presence:
+            self.election.handle_first_read()
+            self.publish_presence()
         self.update_peers()
         self.update_coordinator(items)
         self.check_leader()
--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -5,16 +5,26 @@
 import pytest
 
 from cyclamenscale.errors import StoreUnavailableError
+from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.election import (
     MAX_JITTER_S,
     REQUEST_DELAY_S,
     Election,
 )
+from cyclamenscale.jobs.entry import JobEntry
 from cyclamenscale.jobs.job_index import JobIndex
-from cyclamenscale.jobs.keys import ENTRY, LEADER, PREFIX
+from cyclamenscale.jobs.keys import (
+    ENTRY,
+    LEADER,
+    PREFIX,
+    entry_capacity_key,
+)
 from cyclamenscale.jobs.model import EntryCapacity, EntryRecord
 from cyclamenscale.jobs.precedence import capacity_of, rank_tiers
 from cyclamenscale.jobs.presence import Presence
+from cyclamenscale.jobs.relay import Responder
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.platform.program import DECODERS
 from cyclamenscale.settings import EntrySettings, Settings
 from cyclamenscale.util.events import EventLog
 from test.jobs.test_acceptance import FakeLoop
@@ -110,6 +120,10 @@
     def start(self):
         """Publish the records and begin periodic work."""
         self.running = True
+        self.job_index.replace(
+            self.group.delivered_items(), 0, self.loop.clock()
+        )
+        self.election.handle_first_read()
         self.election.eligible = True
         self.presence.start()
         self.run()
@@ -129,6 +143,18 @@
         self.store.mode = "down"
 
 
+class FakePeerCalls:
+    """The address of an entry without peers."""
+
+    address = "10.0.0.1:7000"
+
+    def start(self, handle):
+        """Accept no requests."""
+
+    def connect(self, addresses):
+        """Connect to no peers."""
+
+
 class Group:
     """Entries that share one store."""
 
@@ -237,6 +263,50 @@
     assert group.leader in large
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_large_entry_leads_at_once_after_a_short_loss_of_power(seed):
+    """Guards against tasks that expire while restarted entries wait.
+
+    All entries lose power and restart at once. Their records are still in
+    the store, so that the capacities of all are known.
+    """
+    group, large, small = unequal_group(seed)
+    group.settle()
+    for member in group.members.values():
+        member.crash()
+    del group.store.items[LEADER]
+    group.wait(1.0)
+    restarted_large = group.add("large", len(large), **LARGE)
+    for member in group.add("small", len(small), **SMALL) + restarted_large:
+        member.start()
+    assert group.wait_for_leader() <= ATTEMPT_S
+    assert group.leader in restarted_large
+
+
+def test_a_restarted_entry_knows_its_peers():
+    """Guards against an entry that takes its new record for its old one."""
+    store = FakeStore()
+    known = []
+    for _ in range(2):
+        loop = FakeLoop()
+        settings = Settings(entry=EntrySettings(name="e1"))
+        entry = JobEntry(
+            settings,
+            loop,
+            Ports(None, None, store),
+            DECODERS,
+            EventLog("e1", -1, loop.clock),
+            Metrics(settings),
+            Random(1),
+            FakePeerCalls(),
+        )
+        entry.responder = Responder(loop, None, None)
+        entry.start()
+        assert entry_capacity_key("e1") in store.items
+        known.append(entry.election.peers_known)
+    assert known == [False, True]
+
+
 def test_entries_of_one_size_compete_at_once():
     """Guards against equal entries that wait for one another."""
     leaders = set()
