--- a/cyclamenscale/jobs/keys.py
+++ b/cyclamenscale/jobs/keys.py
@@ -8,6 +8,8 @@
 WAVE = PREFIX + "wave/"
 FLEET = PREFIX + "fleet"
 ENTRY = PREFIX + "entry/"
+ENTRY_CAPACITY = PREFIX + "entry-capacity/"
+LEAD_REQUEST = PREFIX + "lead-request/"
 
 
 def job_key(job: str) -> str:
@@ -30,6 +32,16 @@
     return ENTRY + name
 
 
+def entry_capacity_key(name: str) -> str:
+    """Return the key of an entry's capacity."""
+    return ENTRY_CAPACITY + name
+
+
+def lead_request_key(name: str) -> str:
+    """Return the key of an entry's request to lead."""
+    return LEAD_REQUEST + name
+
+
 def wave_key(wave: int) -> str:
     """Return the key of a wave's progress."""
     return f"{WAVE}{wave}"
