Give the fake loop of the tests the load of an idle loop

The entry reports the load of its loop periodically; the tests of the election run an entry on the fake loop. Before: AttributeError in test_a_restarted_entry_knows_its_peers.

--- a/test/jobs/test_acceptance.py
+++ b/test/jobs/test_acceptance.py
@@ -8,6 +8,7 @@
 from cyclamenscale.jobs.acceptance import PROBE_INTERVAL_S, Acceptance
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import LoopLoad
 from test.jobs.world import FakeStore
 
 
@@ -23,6 +24,10 @@
         """Schedule a call."""
         self.timers.append((self.clock() + delay_s, run))
 
+    def take_load(self):
+        """Return the load of an idle loop."""
+        return LoopLoad(0.0, 0.0)
+
     def advance(self, for_s, step_s=0.05):
         """Advance the clock in steps and run the due timers."""
         end_s = self.clock() + for_s
