Inherit runs of occurrences that are not due by this entry's clock

Callers would see a task of a scheduled job run again after it has ended done, or its run stopped and repeated, after a change of coordinator while wall clocks differ.

Cause: occurrences open by the leader's wall clock, and opening one is not stored. If the clock of the predecessor was ahead, its runs belonged to an occurrence that the successor had not opened: it stopped them with "its job is not open", and dropped reported ends, which it then acknowledged. Later it opened the occurrence and started all its tasks.

A run or an end of an occurrence shows that a coordinator has found it due, so WorkerPoller.find_started_task now opens it, unless the occurrence has finished or the job has ended. The successor's starts are no earlier than its predecessor's.

On the code before, test_an_end_counts_before_its_occurrence_is_due_here fails with "TWICE: j1.0.0.0 starts after done", and test_a_running_occurrence_is_inherited_before_it_is_due_here with a second run; test_a_finished_occurrence_does_not_open_for_an_old_run passes on both. test/jobs and test/platform pass.

--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -136,6 +136,21 @@
             if not is_open and number not in self.finished_out_of_order:
                 self.occurrences[number] = Occurrence(self, number, now_s)
 
+    def open_started_occurrence(self, number: int, now_s: float) -> None:
+        """Open an occurrence that another coordinator has found due.
+
+        Wall clocks of entries differ and may jump.
+        """
+        recurrence = self.record.spec.recurrence
+        if not recurrence or self.ended or number in self.occurrences:
+            return
+        finished = (
+            number < self.first_unfinished
+            or number in self.finished_out_of_order
+        )
+        if not finished and number < recurrence.count:
+            self.occurrences[number] = Occurrence(self, number, now_s)
+
     def open_steps(self) -> list[StepState]:
         """Return the steps that may run now, of all open occurrences."""
         if self.ended:
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -299,7 +299,7 @@
         self, worker: Worker, report: RunReport, clock_ms: int, now_s: float
     ) -> None:
         """Inherit a run that this term did not start."""
-        task = self.find_task(report.task)
+        task = self.find_started_task(report.task)
         run = Run(report.task, report.run, task, worker, now_s)
         run.inherited = True
         run.phase = RUNNING
@@ -329,7 +329,7 @@
             for run in worker.runs.values():
                 if run.task or not run.name.startswith(prefix):
                     continue
-                task = self.find_task(run.name)
+                task = self.find_started_task(run.name)
                 if not task:
                     continue
                 worker.set_task(run, task)
@@ -338,18 +338,19 @@
                 if task in task.step.waiting:
                     task.step.waiting.remove(task)
 
-    def find_task(self, name: str) -> Task | None:
-        """Return the task with a name, if its occurrence is open."""
+    def find_started_task(self, name: str) -> Task | None:
+        """Return a task that a worker reported, if its job knows it."""
         parts = parse_task(name)
-        if not parts:
+        job = self.state.jobs.get(parts[0]) if parts else None
+        if not job:
             return None
-        job = self.state.jobs.get(parts[0])
-        return job.find_task(*parts[1:]) if job else None
+        job.open_started_occurrence(parts[1], self.state.clock())
+        return job.find_task(*parts[1:])
 
     def apply_end(self, worker: Worker, end: EndReport, now_s: float) -> None:
         """Apply a reported end of a run."""
         run = worker.runs.get((end.task, end.run))
-        task = self.find_task(end.task)
+        task = self.find_started_task(end.task)
         if run is None:
             # It is from an earlier term, or was dropped as expired.
             run = Run(end.task, end.run, task, worker, now_s)
--- a/test/jobs/test_job_kinds.py
+++ b/test/jobs/test_job_kinds.py
@@ -175,3 +175,68 @@
     world.run(60.2)
     job = world.coordinator.state.jobs["j1"]
     assert 0 < job.due_s - world.clock() <= job.objective_s
+
+
+def test_a_running_occurrence_is_inherited_before_it_is_due_here():
+    """Guards against a second run of a task that began by another clock.
+
+    The wall clock of the first coordinator is ahead. The next one inherits
+    a run of an occurrence that is not due by its own clock yet.
+    """
+    world = World()
+    world.lead().state.wall = lambda: world.clock() + 2.0
+    world.run()
+    submit_recurring(world, 2.0, 10.0, 1)
+    world.run()
+    before = world.running()
+    assert [task for task, _, _ in before] == ["j1.0.0.0"]
+    world.take_over("e2")
+    world.run(3.0)
+    assert world.running() == before
+    assert not world.violations
+    world.finish("j1")
+    world.run()
+    item = world.store.items["cyclamen/progress/j1"]
+    assert decode_record(item.value, ProgressRecord, "j1").state == DONE
+
+
+def test_an_end_counts_before_its_occurrence_is_due_here():
+    """Guards against a start after the task has ended done.
+
+    The wall clock of the first coordinator is ahead. The run ends before
+    the next one, by whose clock the occurrence is not due yet, polls its
+    worker.
+    """
+    world = World()
+    world.lead().state.wall = lambda: world.clock() + 2.0
+    world.run()
+    submit_recurring(world, 2.0, 10.0, 1)
+    world.run()
+    world.take_over("e2")
+    world.finish("j1")
+    world.run(3.0)
+    assert not world.violations
+    item = world.store.items["cyclamen/progress/j1"]
+    assert decode_record(item.value, ProgressRecord, "j1").state == DONE
+
+
+def test_a_finished_occurrence_does_not_open_for_an_old_run():
+    """Guards against an occurrence that runs again after it has finished.
+
+    A worker reports a run of it after the coordinator has recorded its end,
+    as a speculative copy would.
+    """
+    world = World()
+    world.lead()
+    world.run()
+    submit_recurring(world, 0.1, 1.0, 2)
+    world.run(0.3)
+    world.finish("j1.0")
+    world.run(0.2)
+    worker = next(iter(world.workers.workers.values()))
+    worker.runs[("j1.0.0.0", 7)] = world.clock()
+    worker.runs[("j1.5.0.0", 8)] = world.clock()
+    worker.deadline_ms = worker.now_ms() + 60000
+    world.run(0.2)
+    assert not world.running()
+    assert list(world.coordinator.state.jobs["j1"].occurrences) == []
