Keep a term when news from before its election arrives late

Callers would see a pause of starts and answers for a lost term: an entry that has just been elected could resign with "the leader's key is gone", end its lease and need another election.

Cause: the index of the jobs took each state of the leader's key that arrived for the newest. The entry may know from a direct read that the key is gone while its watch is behind; the watch, or a full read that was sent before the election, then delivers the end of the previous term. And until the new leader has read all jobs, its index has no leader at all, so any change that the watch delivered in between ended the term.

JobIndex now ignores states of the key that are older than the one it has, and JobEntry.check_leader waits until the index includes the revision of the election.

On the code before, three tests of test_entry.py and test_an_older_state_of_the_leader_key_does_not_replace_a_newer fail; test_a_term_ends_with_the_leader_key passes on both.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -234,6 +234,9 @@
     def check_leader(self) -> None:
         """End the term if another entry leads; try to lead if none does."""
         leader, term = self.job_index.leader, self.election.term
+        if term and self.job_index.revision < term.fence:
+            # The index does not include the election yet.
+            return
         if term and leader and leader.fence > term.fence:
             self.election.resign(f"{leader.node} leads")
         elif term and leader is None:
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -87,6 +87,8 @@
         """Initialise with no jobs and no leader."""
         self.jobs: dict[str, IndexedJob] = {}
         self.leader: Leader | None = None
+        #: Revision of the latest change of the leader's key.
+        self.leader_revision = 0
         #: Progress of waves by number.
         self.waves: dict[int, WaveRecord] = {}
         self.fleet = FleetRecord()
@@ -110,11 +112,7 @@
         key = item.key
         deleted = not item.create_revision
         if key == LEADER:
-            self.leader = (
-                None
-                if deleted
-                else Leader(item.value.decode(), item.mod_revision, item.lease)
-            )
+            self.apply_leader(item, deleted)
         elif key.startswith(JOB):
             self.apply_job(key.removeprefix(JOB), item, deleted)
         elif key.startswith(PROGRESS) and not deleted:
@@ -137,6 +135,18 @@
             self.get_or_create(key.removeprefix(CANCEL)).cancelled = True
             self.record_end(key.removeprefix(CANCEL), now_s)
 
+    def apply_leader(self, item: KeyValue, deleted: bool) -> None:
+        """Apply the state of the leader's key unless a newer one is known."""
+        revision = item.mod_revision
+        if revision < self.leader_revision:
+            return
+        self.leader_revision = revision
+        self.leader = (
+            None
+            if deleted
+            else Leader(item.value.decode(), revision, item.lease)
+        )
+
     def update_progress(
         self, job: str, record: ProgressRecord, revision: int, now_s: float
     ) -> None:
@@ -171,7 +181,8 @@
         :param items: all keys of the job subsystem.
         :returns: messages of the keys that can't be decoded.
         """
-        self.leader = None
+        if revision >= self.leader_revision:
+            self.leader = None
         self.entries = {}
         kept = {
             item.key.removeprefix(JOB)
--- /dev/null
+++ b/test/jobs/test_entry.py
@@ -0,0 +1,99 @@
+"""Tests of a job entry's terms."""
+
+from concurrent.futures import Future
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from cyclamenscale.jobs.coordinator import Ports
+from cyclamenscale.jobs.entry import JobEntry
+from cyclamenscale.jobs.keys import LEADER, job_key
+from cyclamenscale.jobs.model import JobRecord, JobSpec
+from cyclamenscale.metrics import Metrics
+from cyclamenscale.store.port import KeyValue
+from cyclamenscale.util.codec import encode_record
+from test.jobs.world import QUEUE, World
+
+RECORD = JobRecord("j1", QUEUE, 1, 5, JobSpec("x", ()))
+
+
+@pytest.fixture
+def entry():
+    """Return an entry that does not lead; its loop runs nothing."""
+    world = World()
+    decoders = SimpleNamespace(
+        operator_prefix="op/", worker_prefix="servers/", worker=None
+    )
+    loop = SimpleNamespace(
+        clock=world.clock,
+        call_later=lambda delay_s, run: None,
+        call_soon=lambda run: None,
+    )
+    entry = JobEntry(
+        world.settings,
+        loop,
+        Ports(world.workers, world.machines, world.store),
+        decoders,
+        world.events,
+        Metrics(world.settings),
+        Random(1),
+        SimpleNamespace(connect=lambda addresses: None),
+    )
+    entry.manifest = world.manifest
+    return entry
+
+
+def job_item(revision):
+    """Return an accepted job as the watch delivers it."""
+    return KeyValue(job_key("j1"), encode_record(RECORD), revision, revision)
+
+
+def test_a_change_from_before_the_term_does_not_end_it(entry, monkeypatch):
+    """Guards against a leader that resigns right after its election.
+
+    The watch delivers a job from before the election while the new leader
+    reads all jobs; its index does not have the leader's key yet.
+    """
+    store = entry.ports.store
+    monkeypatch.setattr(store, "read_range", lambda prefix: Future())
+    entry.election.compete()
+    fence = entry.election.term.fence
+    entry.apply_jobs([job_item(fence - 1)], fence - 1)
+    assert entry.election.term
+
+
+def test_a_late_end_of_the_previous_term_does_not_end_the_next(entry):
+    """Guards against a leader that resigns for its predecessor's key.
+
+    The entry learned from a direct read that the key was gone; the watch
+    delivers that later.
+    """
+    entry.election.compete()
+    fence = entry.election.term.fence
+    entry.apply_jobs([KeyValue(LEADER, b"", 0, fence - 1)], fence - 1)
+    assert entry.election.term
+    assert entry.job_index.leader.fence == fence
+
+
+def test_a_full_read_from_before_the_term_does_not_end_it(entry):
+    """Guards against a leader that resigns for a read that arrives late."""
+    entry.election.compete()
+    fence = entry.election.term.fence
+    entry.replace_jobs([KeyValue(LEADER, b"e9", 3, 3)], fence - 1)
+    entry.replace_jobs([job_item(5)], fence - 1)
+    assert entry.election.term
+    assert entry.job_index.leader.fence == fence
+
+
+@pytest.mark.parametrize("complete", [False, True])
+def test_a_term_ends_with_the_leader_key(entry, complete):
+    """Guards against a leader that goes on without its key."""
+    entry.election.compete()
+    revision = entry.election.term.fence + 1
+    if complete:
+        entry.replace_jobs([], revision)
+    else:
+        entry.apply_jobs([KeyValue(LEADER, b"", 0, revision)], revision)
+    assert not entry.election.term
+    assert not entry.coordinator
--- a/test/jobs/test_job_index.py
+++ b/test/jobs/test_job_index.py
@@ -61,3 +61,19 @@
     assert (index.leader.node, index.leader.fence) == ("e1", 5)
     index.apply(KeyValue(LEADER, b"", 0, 6), 1.0)
     assert index.leader is None
+
+
+def test_an_older_state_of_the_leader_key_does_not_replace_a_newer():
+    """Guards against an election while an entry leads.
+
+    A direct read of the key has overtaken the watch, or a full read.
+    """
+    index = JobIndex()
+    index.apply(item(LEADER, b"e2", 9), 1.0)
+    index.apply(item(LEADER, b"e1", 5), 1.0)
+    index.apply(KeyValue(LEADER, b"", 0, 8), 1.0)
+    index.replace([item(LEADER, b"e1", 5)], 7, 1.0)
+    index.replace([], 8, 1.0)
+    assert (index.leader.node, index.leader.fence) == ("e2", 9)
+    index.replace([], 10, 1.0)
+    assert index.leader is None
