--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -1,13 +1,16 @@
 """Sends orders to start, stop and throttle runs; handles the responses.
 
-A start without a response may still be carried out, even seconds later. The
-same start is sent once more; if that has no response either, the run is
-stopped, after which the worker refuses to start it.
+A start without a response may have been carried out, or may still be, even
+seconds later. A poll shows whether the worker can be reached and has the run.
+If it lacks the run, the same start is sent once more, and if that has no
+response either, the run is stopped, after which the worker refuses to start
+it. Nothing is repeated to a worker that does not respond to polls.
 """
 
 from concurrent.futures import Future
 
 from cyclamenscale.errors import CallError, CallNotSentError
+from cyclamenscale.jobs.flow_control import StartWindow
 from cyclamenscale.jobs.model import END_FAILED
 from cyclamenscale.jobs.ports import (
     OrderResponse,
@@ -42,17 +45,21 @@
 
     :param state: shared state of the term.
     :param calls: calls to the workers.
+    :ivar window: limit on the starts in flight to all workers.
     """
 
     def __init__(self, state: State, calls: WorkerCalls):
         """Initialise with no orders in flight."""
         self.state = state
         self.calls = calls
+        self.window = StartWindow()
 
     def extend_lease(self, worker: Worker) -> int:
         """Extend the lease of a worker's runs and return its deadline."""
+        now_s = self.state.clock()
         lease_ms = self.state.task_lease_s * 1000
-        deadline_ms = int(worker.min_clock_ms(self.state.clock()) + lease_ms)
+        deadline_ms = int(worker.min_clock_ms(now_s) + lease_ms)
+        worker.lease_extended_s = now_s
         worker.lease_deadline_ms = max(worker.lease_deadline_ms, deadline_ms)
         return worker.lease_deadline_ms
 
@@ -98,11 +105,25 @@
         run.in_flight = True
         run.tries += 1
         worker.orders_in_flight += 1
+        sent_s = self.state.clock()
+        self.window.record_sent()
         call = self.calls.start(worker.record, order)
+        call.add_done_callback(lambda done: self.adapt_window(sent_s, done))
         call.add_done_callback(
             lambda done: self.handle_start_response(run, done)
         )
 
+    def adapt_window(self, sent_s: float, done: Future) -> None:
+        """Adapt the window to the time that a start's response took."""
+        now_s = self.state.clock()
+        if self.window.is_full:
+            # Tasks may be waiting for the window alone.
+            self.state.mark_changed()
+        if done.exception():
+            self.window.record_unanswered(now_s)
+        else:
+            self.window.record_response(now_s - sent_s, now_s)
+
     def handle_start_response(self, run: Run, done: Future) -> None:
         """Handle the response to a start."""
         run.in_flight = False
@@ -113,7 +134,11 @@
             self.handle_lost_start_response(run, error)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        now_s = self.state.clock()
+        worker.record_clock(response.clock_ms, now_s)
+        if run.tries == 1:
+            took_ms = (now_s - run.started_s) * 1000
+            self.state.metrics.timing("jobs.start_response_ms", took_ms)
         if response.accepted:
             if run.phase in (STARTING, UNCONFIRMED):
                 run.phase = RUNNING
@@ -130,7 +155,8 @@
         immediate poll shows whether it is.
         """
         state, worker = self.state, run.worker
-        worker.request_immediate_poll(state.clock())
+        run.unanswered_s = state.clock()
+        worker.request_immediate_poll(run.unanswered_s)
         state.metrics.incr("jobs.starts_unanswered")
         state.events.note(
             "task.start_unanswered",
@@ -158,6 +184,8 @@
             run=run.number,
             worker=worker.id,
             reason=reason,
+            tries=run.tries,
+            sent_age_s=round(now_s - run.started_s, 3),
         )
         if reason == "fence":
             state.superseded = f"worker {worker.id} has seen a higher fence"
@@ -232,12 +260,14 @@
         run.in_flight = False
         worker = run.worker
         worker.orders_in_flight -= 1
+        now_s = self.state.clock()
         error = done.exception()
         if error:
-            worker.request_immediate_poll(self.state.clock())
+            run.unanswered_s = now_s
+            worker.request_immediate_poll(now_s)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        worker.record_clock(response.clock_ms, now_s)
         if response.accepted:
             # A later report lists the run, unless it has ended.
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms, 1)
@@ -272,9 +302,11 @@
             if worker.terminated:
                 continue
             for run in list(worker.runs.values()):
-                if run.in_flight:
+                if run.in_flight or run.phase not in (UNCONFIRMED, STOPPING):
                     continue
-                if run.phase == UNCONFIRMED:
+                if worker.fence_confirmed_s <= run.unanswered_s:
+                    worker.request_immediate_poll(now_s)
+                elif run.phase == UNCONFIRMED:
                     if run.tries < 2 and self.state.may_start():
                         self.send_start(run)
                     else:
