Let the doubles report a start after an end that is read later

The platform forbids a start after a run of the task has ended `done` if that end is acknowledged then or later, unless the worker's lease has expired between the two. World.check_start knew only ends that were acknowledged before the start, so a second run of a task whose end was still unread passed all tests, though callers' work ran twice.

FakeWorker now keeps the order of ends and starts and notes which ends the lease has expired after; the check is made when an end is acknowledged. Steps that allow copies and long-running steps are exempt, as in the rule. Delayed calls now find the lease expired, like calls in time. Checks that existed before are unchanged.

--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from concurrent.futures import Future
+from itertools import count
 
 from cyclamenscale.errors import (
     CallUnansweredError,
@@ -52,6 +53,9 @@
 QUEUE = Queue("replan", "h", "/p/", "pool-a", 0, 2, 1.6, 600.0)
 CAPACITY = Resources(64.0, 256.0, 0)
 
+#: Orders starts and ends that happen at the same virtual time.
+SEQUENCE = count(1)
+
 
 def settled(value=None, error: Exception | None = None) -> Future:
     """Return a future that is already settled."""
@@ -196,6 +200,11 @@
         self.runs: dict[tuple[str, int], float] = {}
         self.ends: list[EndReport] = []
         self.ends_count = 0
+        #: Position in ``SEQUENCE`` of each end, by its number.
+        self.end_positions: dict[int, int] = {}
+        #: Numbers of the ends after which the lease has expired before they
+        #: were acknowledged.
+        self.ends_before_expiry: set[int] = set()
         self.stopped: dict[str, int] = {}
         self.mode = "up"
         #: Fencing tokens of coordinators that do not reach it.
@@ -208,9 +217,11 @@
 
     def expire_lease(self) -> None:
         """Kill all runs once their lease has expired."""
-        if self.runs and self.now_ms() >= self.deadline_ms:
-            for key in list(self.runs):
-                self.end(key, "lapsed")
+        if self.now_ms() < self.deadline_ms:
+            return
+        self.ends_before_expiry.update(end.number for end in self.ends)
+        for key in list(self.runs):
+            self.end(key, "lapsed")
 
     def end(
         self, key: tuple[str, int], outcome: str, checkpoint: str = ""
@@ -218,6 +229,7 @@
         """End a run."""
         del self.runs[key]
         self.ends_count += 1
+        self.end_positions[self.ends_count] = next(SEQUENCE)
         self.ends.append(EndReport(self.ends_count, *key, outcome, checkpoint))
         self.stopped[key[0]] = max(self.stopped.get(key[0], 0), key[1])
 
@@ -243,7 +255,7 @@
         if worker.mode == "late" or (
             is_start and worker.mode == "late_starts"
         ):
-            self.delayed.append(lambda: carry_out(worker))
+            self.delayed.append((worker, carry_out))
             return lost
         response = carry_out(worker)
         return lost if worker.mode == "lost" else settled(response)
@@ -251,8 +263,9 @@
     def release(self) -> None:
         """Carry out the delayed calls."""
         delayed, self.delayed = self.delayed, []
-        for carry_out in delayed:
-            carry_out()
+        for worker, carry_out in delayed:
+            worker.expire_lease()
+            carry_out(worker)
 
     def start(self, worker, order):
         """Start a task."""
@@ -271,6 +284,7 @@
                 return OrderResponse(False, "late", clock_ms)
             found.deadline_ms = max(found.deadline_ms, order.deadline_ms)
             self.world.check_start(found, order)
+            self.world.starts.setdefault(order.task, []).append(next(SEQUENCE))
             self.world.on_start(order)
             found.runs[key] = self.world.clock()
             return OrderResponse(True, "", clock_ms)
@@ -312,7 +326,7 @@
             found.deadline_ms = max(found.deadline_ms, request.deadline_ms)
             for end in found.ends:
                 if end.number <= request.acknowledged_end:
-                    self.world.record_acknowledged(end)
+                    self.world.record_acknowledged(found, end)
             found.ends = [
                 end
                 for end in found.ends
@@ -421,6 +435,8 @@
         self.advice_calls: list = []
         self.acknowledged_done: set[str] = set()
         self.ended_done: set[str] = set()
+        #: Positions in ``SEQUENCE`` of the starts of each task.
+        self.starts: dict[str, list[int]] = {}
         self.failures: Counter[str] = Counter()
         self.attempts = QUEUE.attempts
         self.cancelled: dict[str, float] = {}
@@ -532,13 +548,27 @@
                         self.ended_done.add(key[0])
                     worker.end(key, outcome)
 
-    def record_acknowledged(self, end: EndReport) -> None:
+    def record_acknowledged(self, worker: FakeWorker, end: EndReport) -> None:
         """Record an end that the coordinator has acknowledged."""
         if end.outcome == "done":
             self.acknowledged_done.add(end.task)
+            if end.number not in worker.ends_before_expiry:
+                self.check_started_since(worker, end)
         if end.outcome == "failed":
             self.failures[end.task] += 1
 
+    def check_started_since(self, worker: FakeWorker, end: EndReport) -> None:
+        """Check that a task did not start between its end and now."""
+        job, _, step, _ = end.task.split(".")
+        spec = self.steps[job][int(step)]
+        if spec.allows_copies or spec.long_running:
+            return
+        ended = worker.end_positions[end.number]
+        if any(started > ended for started in self.starts[end.task]):
+            self.violations.append(
+                f"TWICE: {end.task} started after run {end.run} was done"
+            )
+
     def percent(self, task: str) -> float:
         """Return the progress that is reported for a task."""
         return self.reported_percent.get(task, 100.0)
