Take the refusal of a start as the answer to one sending only

Callers saw a task run twice. A start had no answer within 200 ms but was carried out late, and the run was soon done. Its repeat was refused as `old`, since the worker rejects a run that has ended there. The coordinator took that as "never ran", dropped the run and started the task again before it had read the end. The same holds for the other reasons: the sending without an answer may be carried out seconds after its repeat was refused.

A run refused as `old` is now kept until a report made after the refusal lists its end or lacks it. This holds for the first sending too, because libcurl may repeat a request on its own. After the other refusals of a repeat the run is stopped, so that the worker rejects it for good, and kept until its end is certain. A run that a report has listed stays. Whether a sending is a repeat is noted when it is sent, as a stop resets the count. A refused first sending is still placed elsewhere at once, and counts as a failure if it is refused as `bad`; after a repeat that is no evidence of a failed run.

Evidence: test_a_repeated_start_that_comes_after_the_end_is_not_replaced plays the traced sequence.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -4,7 +4,8 @@
 seconds later. A poll shows whether the worker can be reached and has the run.
 If it lacks the run, the same start is sent once more, and if that has no
 response either, the run is stopped, after which the worker refuses to start
-it. Nothing is repeated to a worker that does not respond to polls.
+it. Nothing is repeated to a worker that does not respond to polls. A refusal
+applies to one sending only: an earlier one may still be carried out.
 """
 
 from concurrent.futures import Future
@@ -104,13 +105,14 @@
         )
         run.in_flight = True
         run.tries += 1
+        repeated = run.tries > 1
         worker.orders_in_flight += 1
         sent_s = self.state.clock()
         self.window.record_sent()
         call = self.calls.start(worker.record, order)
         call.add_done_callback(lambda done: self.adapt_window(sent_s, done))
         call.add_done_callback(
-            lambda done: self.handle_start_response(run, done)
+            lambda done: self.handle_start_response(run, repeated, done)
         )
 
     def adapt_window(self, sent_s: float, done: Future) -> None:
@@ -124,8 +126,13 @@
         else:
             self.window.record_response(now_s - sent_s, now_s)
 
-    def handle_start_response(self, run: Run, done: Future) -> None:
-        """Handle the response to a start."""
+    def handle_start_response(
+        self, run: Run, repeated: bool, done: Future
+    ) -> None:
+        """Handle the response to a start.
+
+        :param repeated: whether an earlier sending had no response.
+        """
         run.in_flight = False
         worker = run.worker
         worker.orders_in_flight -= 1
@@ -146,7 +153,7 @@
             run.tries = 0
             self.state.metrics.incr("jobs.starts_accepted")
         else:
-            self.handle_refused_start(run, response.reason)
+            self.handle_refused_start(run, repeated, response)
 
     def handle_lost_start_response(self, run: Run, error: CallError) -> None:
         """Handle a start that had no response.
@@ -173,9 +180,14 @@
         elif run.phase == STARTING:
             run.phase = UNCONFIRMED
 
-    def handle_refused_start(self, run: Run, reason: str) -> None:
-        """Handle a start that the worker refused."""
-        state, worker = self.state, run.worker
+    def handle_refused_start(
+        self, run: Run, repeated: bool, response: OrderResponse
+    ) -> None:
+        """Handle a start that the worker refused.
+
+        :param repeated: whether an earlier sending had no response.
+        """
+        state, worker, reason = self.state, run.worker, response.reason
         now_s = state.clock()
         state.metrics.incr("jobs.starts_refused")
         state.events.note(
@@ -186,25 +198,48 @@
             reason=reason,
             tries=run.tries,
             sent_age_s=round(now_s - run.started_s, 3),
+            repeated=repeated,
         )
         if reason == "fence":
             state.superseded = f"worker {worker.id} has seen a higher fence"
-        elif reason == "old" and run.task:
-            job = run.task.job
-            job.highest_run = max(job.highest_run, run.number + RUN_NUMBER_GAP)
         elif reason == "other_life":
             worker.terminated = True
         elif reason == "unhealthy":
             worker.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
             worker.consecutive_failures += 1
-        elif reason == "bad" and run.task:
-            task = run.task
-            self.drop_run(run)
-            task.job.record_end(task, run.number, END_FAILED, "")
+        elif reason not in ("old", "bad"):
+            worker.blocked_until_s = now_s + REFUSED_PAUSE_S
+        if run.key not in worker.runs:
+            return
+        if reason == "old":
+            self.await_end(run, response.clock_ms)
+        elif run.confirmed_ms:
+            # The worker has it from an earlier sending; reports tell more.
             return
+        elif repeated and reason not in ("fence", "other_life"):
+            self.stop(run, "start was refused after one without an answer")
         else:
-            worker.blocked_until_s = now_s + REFUSED_PAUSE_S
-        self.drop_run(run)
+            self.drop_run(run)
+            if reason == "bad" and run.task:
+                run.task.job.record_end(run.task, run.number, END_FAILED, "")
+
+    def await_end(self, run: Run, clock_ms: int) -> None:
+        """Keep a run that the worker has refused as too old.
+
+        It is not running and never will be, but it may have ended, also if
+        it was sent once: the HTTP client may repeat a request. A later
+        report lists its end or proves that there was none.
+
+        :param clock_ms: the worker's clock at the refusal.
+        """
+        if run.task:
+            job = run.task.job
+            job.highest_run = max(job.highest_run, run.number + RUN_NUMBER_GAP)
+        run.phase = STOPPING
+        run.tries = -1
+        run.confirmed_ms = max(run.confirmed_ms, clock_ms, 1)
+        run.worker.request_immediate_poll(self.state.clock())
+        self.stop_gang(run)
 
     def drop_run(self, run: Run) -> None:
         """Drop a run that was not started and never will be."""
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -2,9 +2,11 @@
 
 from concurrent.futures import Future
 
+import pytest
+
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import DONE, FAILED, ProgressRecord, Step
-from cyclamenscale.jobs.ports import PollRequest, StartOrder
+from cyclamenscale.jobs.ports import OrderResponse, PollRequest, StartOrder
 from cyclamenscale.util.codec import decode_record
 from test.jobs.world import CAPACITY, QUEUE, World
 
@@ -622,3 +624,181 @@
     world.run(4.0)
     assert world.running()
     assert stored(world, "j1").state == "running"
+
+
+def unanswered_start(world):
+    """Submit a job whose start has no response; return its worker.
+
+    The start is delayed until ``world.workers.release()`` is called.
+    """
+    world.lead()
+    world.run()
+    for worker in world.workers.workers.values():
+        worker.mode = "late_starts"
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.05)
+    for worker in world.workers.workers.values():
+        worker.mode = "up"
+    (run,) = world.coordinator.state.jobs["j1"].find_task(0, 0, 0).runs
+    # The start is repeated after a poll that was sent later.
+    while run.worker.fence_confirmed_s <= run.unanswered_s:
+        world.run(0.05)
+    assert run.tries == len(world.workers.delayed) == 1
+    return run.worker.id
+
+
+def test_a_repeated_start_that_comes_after_the_end_is_not_replaced():
+    """Guards against running a task again whose end is not read yet.
+
+    The first sending is carried out late and the run is done before the
+    worker refuses the second sending as old, before it is polled.
+    """
+    world = World(workers=2)
+    worker = unanswered_start(world)
+    world.workers.release()
+    world.finish("j1")
+    world.workers.hold_polls(worker)
+    world.run(0.1)
+    world.workers.release_polls()
+    world.run(0.5)
+    assert not world.violations
+    assert len(world.starts["j1.0.0.0"]) == 1
+    assert stored(world, "j1").state == DONE
+
+
+@pytest.mark.parametrize(
+    "reason", ["room", "late", "unhealthy", "ticket", "bad"]
+)
+def test_a_delayed_start_after_the_refusal_of_its_repeat_runs_nothing(reason):
+    """Guards against reading a refusal of the repeat as "never ran".
+
+    The first sending is carried out after the second has been refused.
+    """
+    world = World(workers=2)
+    worker = unanswered_start(world)
+    world.workers.refuse_starts(worker, reason)
+    world.run(0.05)
+    world.workers.refuse_starts(worker, "")
+    world.workers.release()
+    world.run(0.5)
+    assert not world.violations
+    assert len(world.running("j1")) == 1
+    world.finish("j1")
+    world.run(0.5)
+    assert stored(world, "j1").state == DONE
+    assert not world.violations
+
+
+def test_a_delayed_start_beside_a_refused_repeat_is_found():
+    """Guards against a second run beside one that an earlier sending began.
+
+    The first sending is carried out late; the unhealthy worker refuses the
+    second although the run is there.
+    """
+    world = World(workers=2)
+    worker = unanswered_start(world)
+    world.workers.release()
+    world.workers.refuse_starts(worker, "unhealthy")
+    world.workers.hold_polls(worker)
+    world.run(0.1)
+    world.workers.refuse_starts(worker, "")
+    world.workers.release_polls()
+    world.run(0.5)
+    assert not world.violations
+    assert len(world.running("j1")) == 1
+
+
+def test_a_run_that_a_report_lists_outlives_a_refusal():
+    """Guards against stopping or forgetting a run that is known to be there.
+
+    A report lists it before the unhealthy worker refuses the second sending.
+    """
+    world = World(workers=2)
+    name = unanswered_start(world)
+    coordinator = world.coordinator
+    (run,) = coordinator.state.workers[name].runs.values()
+    refusal = Future()
+    start, world.workers.start = world.workers.start, lambda *args: refusal
+    coordinator.orders.send_start(run)
+    world.workers.start = start
+    world.workers.release()
+    world.run(0.05)
+    world.workers.hold_polls(name)
+    refusal.set_result(OrderResponse(False, "unhealthy", 10))
+    world.run(0.1)
+    world.workers.release_polls()
+    world.run(0.5)
+    assert world.running("j1") == [("j1.0.0.0", 1, name)]
+    assert not world.violations
+
+
+def test_a_repeat_refused_while_its_run_is_stopped_is_kept():
+    """Guards against counting the stop as the first sending of the start.
+
+    The response to the second sending arrives after the stop was sent.
+    """
+    world = World(workers=2)
+    unanswered_start(world)
+    coordinator = world.coordinator
+    (run,) = coordinator.state.jobs["j1"].find_task(0, 0, 0).runs
+    refusal = Future()
+    world.workers.start = lambda *args: refusal
+    coordinator.orders.send_start(run)
+    world.workers.stop = lambda *args: Future()
+    coordinator.orders.stop(run, "test")
+    refusal.set_result(OrderResponse(False, "room", 10))
+    assert run.key in run.worker.runs
+
+
+def test_a_first_start_that_is_refused_is_placed_elsewhere_at_once():
+    """Guards against callers waiting for a run that certainly never was."""
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    world.workers.refuse_starts("pool-a-0", "room")
+    world.submit("j1", SMALL._replace(count=2))
+    world.run(0.05)
+    assert len(world.running("j1")) == 2
+
+
+def test_a_report_from_before_a_refusal_does_not_prove_absence():
+    """Guards against a report that the refusal has overtaken.
+
+    The first sending is carried out between the report and the refusal as
+    old, all within one millisecond of the worker's clock.
+    """
+    world = World(workers=2)
+    name = unanswered_start(world)
+    coordinator = world.coordinator
+    worker = coordinator.state.workers[name]
+    request = PollRequest(coordinator.state.term.fence, 0)
+    before = world.workers.poll(worker.record, request).result()
+    world.workers.release()
+    world.finish("j1")
+    world.workers.poll = lambda *args: Future()
+    (run,) = worker.runs.values()
+    coordinator.orders.send_start(run)
+    coordinator.poller.apply_report(worker, before, world.clock())
+    assert run.key in worker.runs
+
+
+def test_a_first_start_refused_as_old_waits_for_the_end():
+    """Guards against a restart after the HTTP client repeated a start.
+
+    The client sent the only start twice: the first copy was carried out and
+    the run is done; the second was refused.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.workers.hold_polls("pool-a-0")
+    worker = world.workers.workers["pool-a-0"]
+    worker.runs[("j1.0.0.0", 1)] = world.clock()
+    world.finish("j1")
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.1)
+    world.workers.release_polls()
+    world.run(0.5)
+    assert not world.violations
+    assert not world.starts
+    assert stored(world, "j1").state == DONE
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -49,6 +49,7 @@
 from cyclamenscale.util.clock import VirtualClock
 from cyclamenscale.util.codec import encode_record
 from cyclamenscale.util.events import EventLog
+from cyclamenscale.util.loop import chain_future
 
 QUEUE = Queue("replan", "h", "/p/", "pool-a", 0, 2, 1.6, 600.0)
 CAPACITY = Resources(64.0, 256.0, 0)
@@ -242,6 +243,15 @@
         self.world = world
         self.workers: dict[str, FakeWorker] = {}
         self.delayed: list = []
+        #: Reasons for which workers refuse all starts, by worker id.
+        self.refusals: dict[str, str] = {}
+        #: Workers whose polls wait, and the waiting polls.
+        self.polls_held: set[str] = set()
+        self.held_polls: list[tuple] = []
+
+    def refuse_starts(self, worker: str, reason: str) -> None:
+        """Let a worker refuse new calls to start; empty to accept them."""
+        self.refusals[worker] = reason
 
     def deliver(self, record, carry_out, order, is_start=False):
         """Carry out a call according to the worker's mode."""
@@ -267,8 +277,20 @@
             worker.expire_lease()
             carry_out(worker)
 
+    def hold_polls(self, worker: str) -> None:
+        """Let the polls of a worker wait until :meth:`release_polls`."""
+        self.polls_held.add(worker)
+
+    def release_polls(self) -> None:
+        """Carry out the waiting polls."""
+        self.polls_held.clear()
+        held, self.held_polls = self.held_polls, []
+        for outcome, arguments in held:
+            chain_future(self.poll(*arguments), outcome)
+
     def start(self, worker, order):
         """Start a task."""
+        refusal = self.refusals.get(worker.id, "")
 
         def carry_out(found: FakeWorker) -> OrderResponse:
             clock_ms = found.now_ms()
@@ -276,6 +298,8 @@
             if order.fence < found.fence:
                 return OrderResponse(False, "fence", clock_ms)
             found.fence = order.fence
+            if refusal:
+                return OrderResponse(False, refusal, clock_ms)
             if key in found.runs:
                 return OrderResponse(True, "", clock_ms)
             if order.run <= found.stopped.get(order.task, 0):
@@ -317,6 +341,10 @@
 
     def poll(self, worker, request, new_connection=False):
         """Respond to a poll and renew the lease of the runs."""
+        if worker.id in self.polls_held:
+            outcome: Future = Future()
+            self.held_polls.append((outcome, (worker, request)))
+            return outcome
 
         def carry_out(found: FakeWorker):
             clock_ms = found.now_ms()
@@ -564,7 +592,7 @@
         if spec.allows_copies or spec.long_running:
             return
         ended = worker.end_positions[end.number]
-        if any(started > ended for started in self.starts[end.task]):
+        if any(started > ended for started in self.starts.get(end.task, ())):
             self.violations.append(
                 f"TWICE: {end.task} started after run {end.run} was done"
             )
