Count a request as sent if a broken connection has carried it

A start that a worker had read was reported as not sent, and its task was placed again at once; callers could see the task run twice. libcurl repeats a request without notice if a reused connection breaks before the first byte of the response. If the new connection is refused, the call ends with E_COULDNT_CONNECT, which the client took as proof that nothing was sent.

The client now asks only REQUEST_SIZE, which libcurl counts over all attempts of a call, body included, and starts at 0 for each call; it is 0 after a plain refusal, also on a handle that has sent requests before. The same applies to transactions of the store and to the relay, which use the same distinction.

test_a_request_that_was_read_on_a_broken_connection_counts_as_sent fails on the code before: the server has read the request, and the call fails with CallNotSentError. test_a_refused_connection_counts_as_not_sent passes on both. Run: test/util and test/platform pass.

--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -218,9 +218,9 @@
                 self.load = self.load._replace(
                     unanswered=self.load.unanswered + 1
                 )
-                sent = code != pycurl.E_COULDNT_CONNECT and (
-                    curl.getinfo(pycurl.REQUEST_SIZE) > 0
-                )
+                # Counts all attempts of libcurl, which repeats a request if
+                # a reused connection breaks before the response.
+                sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
                 pending = self.release(curl)
                 error_type = CallUnansweredError if sent else CallNotSentError
                 pending.outcome.set_exception(error_type(text or str(code)))
