Note when libcurl has repeated a start before its refusal

A start that was carried out on a connection that then broke could be refused on the connection on which libcurl repeated it, for instance by a worker that is unhealthy by then. The coordinator saw one sending and one refusal, dropped the run and started the task elsewhere: it ran twice.

The client counts libcurl's attempts (PREREQFUNCTION is called before each one, on new and reused connections), HttpResponse and OrderResponse say whether there were several, and a refused start with several counts as a repeat: the run is stopped and kept until its end is certain. The repeat itself stays: an accepted one is harmless, since the worker accepts a run that is there and rejects one that has ended there; without it each idle connection that a worker closes would cost a timeout.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -153,6 +153,7 @@
             run.tries = 0
             self.state.metrics.incr("jobs.starts_accepted")
         else:
+            repeated = repeated or response.resent
             self.handle_refused_start(run, repeated, response)
 
     def handle_lost_start_response(self, run: Run, error: CallError) -> None:
@@ -185,7 +186,7 @@
     ) -> None:
         """Handle a start that the worker refused.
 
-        :param repeated: whether an earlier sending had no response.
+        :param repeated: whether the worker may have had an earlier copy.
         """
         state, worker, reason = self.state, run.worker, response.reason
         now_s = state.clock()
--- a/cyclamenscale/jobs/ports.py
+++ b/cyclamenscale/jobs/ports.py
@@ -86,11 +86,14 @@
     :ivar reason: reason of a refusal, one of ``fence``, ``old``, ``late``,
         ``room``, ``ticket``, ``other_life``, ``unhealthy``, ``bad``.
     :ivar clock_ms: time of the worker's clock, 0 if not reported.
+    :ivar resent: whether the transport sent the order twice, so that the
+        worker may have carried out another copy before.
     """
 
     accepted: bool
     reason: str = ""
     clock_ms: int = 0
+    resent: bool = False
 
 
 class WorkerCalls(ABC):
--- a/cyclamenscale/platform/workers.py
+++ b/cyclamenscale/platform/workers.py
@@ -48,11 +48,11 @@
     table = from_json(answer.body, "order") if answer.body else {}
     clock_ms = table.get("clock-ms", 0) if isinstance(table, dict) else 0
     if answer.status == 200:
-        return OrderResponse(True, "", clock_ms)
+        return OrderResponse(True, "", clock_ms, answer.resent)
     reason = STATUS_REASONS.get(answer.status)
     if answer.status == 409:
         reason = str(table.get("reason", "unhealthy"))
-    return OrderResponse(False, reason or "unhealthy", clock_ms)
+    return OrderResponse(False, reason or "unhealthy", clock_ms, answer.resent)
 
 
 def decode_poll_response(answer: HttpResponse) -> Any:
--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -43,10 +43,13 @@
 
     :ivar status: status code.
     :ivar body: complete body.
+    :ivar resent: whether libcurl repeated the request, as a reused
+        connection broke; the server may have read both copies.
     """
 
     status: int
     body: bytes
+    resent: bool = False
 
 
 class HttpLoad(NamedTuple):
@@ -68,15 +71,26 @@
     received_bytes: int = 0
 
 
-class PendingCall(NamedTuple):
+class PendingCall:
     """A call in progress.
 
     :ivar outcome: future of the response.
     :ivar body: part of the response body received so far.
+    :ivar attempts: how often libcurl has begun to send the request.
     """
 
-    outcome: Future
-    body: BytesIO
+    __slots__ = ("attempts", "body", "outcome")
+
+    def __init__(self):
+        """Initialise with nothing sent."""
+        self.outcome: Future = Future()
+        self.body = BytesIO()
+        self.attempts = 0
+
+    def count_attempt(self, *addresses) -> int:
+        """Count an attempt (libcurl's callback before each one)."""
+        self.attempts += 1
+        return pycurl.PREREQFUNC_OK
 
 
 def open_socket(purpose: int, address: tuple) -> socket.socket:
@@ -133,10 +147,11 @@
             request, and with :class:`CallUnansweredError` if it may have.
         """
         curl = self.idle.pop() if self.idle else new_handle()
-        received = BytesIO()
+        pending = PendingCall()
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-        curl.setopt(pycurl.WRITEDATA, received)
+        curl.setopt(pycurl.WRITEDATA, pending.body)
+        curl.setopt(pycurl.PREREQFUNCTION, pending.count_attempt)
         curl.setopt(pycurl.FRESH_CONNECT, 1 if fresh else 0)
         if method == "GET":
             curl.setopt(pycurl.HTTPGET, 1)
@@ -149,12 +164,11 @@
             pycurl.HTTPHEADER,
             [*COMMON_HEADERS, *headers],
         )
-        outcome: Future = Future()
-        self.pending[curl] = PendingCall(outcome, received)
+        self.pending[curl] = pending
         self.calls += 1
         self.load = self.load._replace(calls=self.load.calls + 1)
         self.multi.add_handle(curl)
-        return outcome
+        return pending.outcome
 
     def update_socket(self, action: int, fd: int, multi, data) -> None:
         """Watch or unwatch a socket (libcurl's socket callback)."""
@@ -212,7 +226,9 @@
             for curl in ended:
                 status = curl.getinfo(pycurl.RESPONSE_CODE)
                 pending = self.release(curl)
-                response = HttpResponse(status, pending.body.getvalue())
+                response = HttpResponse(
+                    status, pending.body.getvalue(), pending.attempts > 1
+                )
                 pending.outcome.set_result(response)
             for curl, code, text in failed:
                 self.load = self.load._replace(
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -8,7 +8,7 @@
 from cyclamenscale.jobs.model import DONE, FAILED, ProgressRecord, Step
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, StartOrder
 from cyclamenscale.util.codec import decode_record
-from test.jobs.world import CAPACITY, QUEUE, World
+from test.jobs.world import CAPACITY, QUEUE, World, settled
 
 SMALL = Step(2, Resources(2.0, 4.0), estimate_ms=500.0)
 
@@ -802,3 +802,30 @@
     assert not world.violations
     assert not world.starts
     assert stored(world, "j1").state == DONE
+
+
+def test_a_first_start_that_the_transport_sent_twice_is_kept():
+    """Guards against a second run after the HTTP client repeated a start.
+
+    The first copy was carried out; the second was refused.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    start = world.workers.start
+
+    def start_twice(record, order):
+        assert start(record, order).result().accepted
+        world.workers.hold_polls(record.id)
+        return settled(OrderResponse(False, "unhealthy", 1, resent=True))
+
+    world.workers.start = start_twice
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.05)
+    world.workers.start = start
+    world.run(0.05)
+    assert not world.violations
+    world.workers.release_polls()
+    world.run(0.5)
+    assert len(world.running("j1")) == 1
+    assert not world.violations
--- a/test/util/test_http_client.py
+++ b/test/util/test_http_client.py
@@ -11,6 +11,7 @@
 
 BODY = b'{"run-id":1}'
 ACCEPTED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+REFUSED = b"HTTP/1.1 503 Unhealthy\r\nContent-Length: 2\r\n\r\n{}"
 
 #: Longest wait for the server's thread.
 THREAD_TIMEOUT_S = 5.0
@@ -93,6 +94,25 @@
         send(client, f"http://127.0.0.1:{unused_port()}/").result()
 
 
+def test_a_response_to_a_repeated_request_says_so():
+    """Guards against reading a refusal of libcurl's repeat as "never ran"."""
+    server = ScriptedServer([ACCEPTED, b""], [REFUSED])
+    client = HttpClient(Loop())
+    assert not send(client, server.url).result().resent
+    response = send(client, server.url).result()
+    assert response.status == 503
+    assert response.resent
+    assert server.received == [BODY] * 3
+
+
+def test_a_response_on_a_reused_connection_is_not_a_repeat():
+    """Guards against stopping runs that a busy worker has refused once."""
+    server = ScriptedServer([ACCEPTED, REFUSED])
+    client = HttpClient(Loop())
+    send(client, server.url)
+    assert not send(client, server.url).result().resent
+
+
 def unused_port() -> int:
     """Return a port on which nothing listens."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
