Tell a repeated start from the first when no connection opens

A run whose start may have been carried out was dropped, and its task started elsewhere, when the second sending found no connection while the run was being stopped: stopping resets Run.tries, so the second sending counted as the first, and "not sent" as proof that the worker has nothing. Callers could see the task run twice.

Whether a sending is a repeat is noted when it is sent, as for refusals.

test_a_repeat_not_sent_while_its_run_is_stopped_is_kept fails on the code before: the run is dropped although the worker has it. test/jobs passes.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -138,7 +138,7 @@
         worker.orders_in_flight -= 1
         error = done.exception()
         if error:
-            self.handle_lost_start_response(run, error)
+            self.handle_lost_start_response(run, repeated, error)
             return
         response: OrderResponse = done.result()
         now_s = self.state.clock()
@@ -156,11 +156,15 @@
             repeated = repeated or response.resent
             self.handle_refused_start(run, repeated, response)
 
-    def handle_lost_start_response(self, run: Run, error: CallError) -> None:
+    def handle_lost_start_response(
+        self, run: Run, repeated: bool, error: CallError
+    ) -> None:
         """Handle a start that had no response.
 
         One lost response does not mean that the worker is unreachable; an
         immediate poll shows whether it is.
+
+        :param repeated: whether an earlier sending had no response.
         """
         state, worker = self.state, run.worker
         run.unanswered_s = state.clock()
@@ -176,7 +180,7 @@
         )
         if run.key not in worker.runs:
             return
-        if isinstance(error, CallNotSentError) and run.tries == 1:
+        if isinstance(error, CallNotSentError) and not repeated:
             self.drop_run(run)
         elif run.phase == STARTING:
             run.phase = UNCONFIRMED
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cyclamenscale.errors import CallNotSentError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import DONE, FAILED, ProgressRecord, Step
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, StartOrder
@@ -829,3 +830,23 @@
     world.run(0.5)
     assert len(world.running("j1")) == 1
     assert not world.violations
+
+
+def test_a_repeat_not_sent_while_its_run_is_stopped_is_kept():
+    """Guards against counting the stop as the first sending of the start.
+
+    The worker has the run; no connection can be opened for the second
+    sending, and the coordinator has sent a stop meanwhile.
+    """
+    world = World(workers=2)
+    unanswered_start(world)
+    world.workers.release()
+    coordinator = world.coordinator
+    (run,) = coordinator.state.jobs["j1"].find_task(0, 0, 0).runs
+    attempt = Future()
+    world.workers.start = lambda *args: attempt
+    coordinator.orders.send_start(run)
+    world.workers.stop = lambda *args: Future()
+    coordinator.orders.stop(run, "test")
+    attempt.set_exception(CallNotSentError("refused"))
+    assert run.key in run.worker.runs
