Count the lease that an earlier leader has given a worker

A task could run twice after a change of leader. A new leader knew no deadline of a worker's lease until it sent the first poll that renews it. If a poll beside it failed before that, for instance after a reset of the connections, it did not renew any more, and took the lease as expired at once, although the previous leader had extended it up to 3 s ahead: the worker's runs went on while their tasks started elsewhere.

The first report of a term now sets the deadline to the worker's clock plus the longest task lease. A deadline that an earlier leader gave is never later than that, since it was computed from a lower bound of the worker's clock, and after this report the worker refuses that leader's orders.

test_a_run_of_an_earlier_term_expires_with_its_own_lease fails on the code before: both runs are there after 2 s. test/jobs passes.

--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -192,6 +192,12 @@
         worker.fence = state.term.fence
         worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
+        if first:
+            # An earlier leader may have renewed the lease just before.
+            worker.lease_deadline_ms = max(
+                worker.lease_deadline_ms,
+                report.clock_ms + int(state.task_lease_s * 1000),
+            )
         self.apply_report(worker, report, now_s)
         if worker.last_applied_end > worker.last_acknowledged_end:
             # The next poll becomes due as soon as the ends are stored.
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cyclamenscale.errors import CallNotSentError
+from cyclamenscale.errors import CallNotSentError, CallUnansweredError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import DONE, FAILED, ProgressRecord, Step
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, StartOrder
@@ -850,3 +850,31 @@
     coordinator.orders.stop(run, "test")
     attempt.set_exception(CallNotSentError("refused"))
     assert run.key in run.worker.runs
+
+
+def test_a_run_of_an_earlier_term_expires_with_its_own_lease():
+    """Guards against a second run beside one whose lease was not renewed yet.
+
+    A new coordinator learns of a run in its first report and loses the worker
+    before it sends the poll that would renew the lease.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    world.submit("j1", SMALL._replace(count=1))
+    world.run()
+    ((_, _, name),) = world.running("j1")
+    worker = world.workers.workers[name]
+    worker.runs[("gone.0.0.0", 1)] = world.clock()
+    world.take_over("e2")
+
+    def lose_worker(record, order):
+        worker.unreachable_by.add(order.fence)
+        return settled(error=CallUnansweredError("reset"))
+
+    world.workers.stop = lose_worker
+    world.run(2.0)
+    assert world.running("j1") == [("j1.0.0.0", 1, name)]
+    world.run(4.0)
+    assert [task for task, _, _ in world.running("j1")] == ["j1.0.0.0"]
+    assert not world.violations
