Don't take the refusal of a repeated write as "nothing was done"

A caller could be told that its job was not accepted although it is stored and runs (REFUSED). If the store executes a write and the channel ends with its response, libcurl repeats the write on a new connection. A 429, 503 or 403 to that repeat was reported as StoreUnavailableError, which says that the write had no effect, and Acceptance refuses the caller on it.

Such a refusal now counts as a lost response, as the client says whether it has repeated the request. Acceptance then sends the write again or reports an unknown outcome; the ledger and the election handle both errors alike.

test_a_refusal_of_a_repeated_write_does_not_mean_no_effect fails on the code before: StoreUnavailableError. test/platform and test/util pass.

--- a/cyclamenscale/platform/kv.py
+++ b/cyclamenscale/platform/kv.py
@@ -118,9 +118,10 @@
             return
         answer = done.result()
         if answer.status in REFUSED_STATUSES:
-            outcome.set_exception(
-                StoreUnavailableError(name, f"status {answer.status}")
-            )
+            # A refused repeat does not tell what became of the first copy.
+            lost = writes and answer.resent
+            kind = StoreAnswerLostError if lost else StoreUnavailableError
+            outcome.set_exception(kind(name, f"status {answer.status}"))
             return
         try:
             found = decode(answer)
