Keep starts that may have reached a restarted worker

A task could run twice when a worker restarted under its id. Orders carry that id and no other mark of the incarnation, so the new one carries out what was meant for the old one. When a report or the registry showed the restart, all runs of the worker counted as ended, also one that the new incarnation had just accepted or whose start had no response, and their tasks started elsewhere beside them.

Runs that the old incarnation has not confirmed are now moved to the new one and treated like starts without a response: its first report lists them or their ends, or else they are sent again or stopped. A response whose clock is behind an earlier report confirms nothing, since a clock starts anew with each incarnation. The lease of such a run is limited only by `jobs.max_hold_ms`, as its deadline was a time of the old clock.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -147,6 +147,13 @@
             took_ms = (now_s - run.started_s) * 1000
             self.state.metrics.timing("jobs.start_response_ms", took_ms)
         if response.accepted:
+            if 0 < response.clock_ms < worker.reported_ms and not (
+                run.confirmed_ms
+            ):
+                # The worker has restarted, or a report that lacks the run
+                # has overtaken the response. The next report tells.
+                self.await_report(run, now_s)
+                return
             if run.phase in (STARTING, UNCONFIRMED):
                 run.phase = RUNNING
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms)
@@ -156,6 +163,13 @@
             repeated = repeated or response.resent
             self.handle_refused_start(run, repeated, response)
 
+    def await_report(self, run: Run, now_s: float) -> None:
+        """Treat a start like one without a response."""
+        run.unanswered_s = now_s
+        run.worker.request_immediate_poll(now_s)
+        if run.phase in (STARTING, RUNNING):
+            run.phase = UNCONFIRMED
+
     def handle_lost_start_response(
         self, run: Run, repeated: bool, error: CallError
     ) -> None:
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -193,10 +193,15 @@
         worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
         if first:
-            # An earlier leader may have renewed the lease just before.
+            # An earlier leader may have renewed the lease just before; runs
+            # from before a restart may have the longest lease.
+            lease_ms = (
+                state.settings.jobs.max_hold_ms
+                if worker.runs
+                else int(state.task_lease_s * 1000)
+            )
             worker.lease_deadline_ms = max(
-                worker.lease_deadline_ms,
-                report.clock_ms + int(state.task_lease_s * 1000),
+                worker.lease_deadline_ms, report.clock_ms + lease_ms
             )
         self.apply_report(worker, report, now_s)
         if worker.last_applied_end > worker.last_acknowledged_end:
@@ -445,33 +450,64 @@
     def expire_leases(self, now_s: float) -> None:
         """Drop runs that have certainly ended, and unneeded workers."""
         for worker in list(self.state.workers.values()):
-            if worker.runs and (
-                worker.terminated
-                or (worker.failed_polls and now_s > worker.lease_expiry_s())
-            ):
+            ended = self.ended_runs(worker, now_s)
+            if ended:
                 self.state.events.note(
                     "worker.lapsed",
                     worker=worker.id,
                     gone=worker.terminated,
-                    runs=len(worker.runs),
+                    runs=len(ended),
                     silent_s=round(now_s - worker.last_response_s, 2),
                     extended_age_s=round(now_s - worker.lease_extended_s, 2),
                     deadline_ms=worker.lease_deadline_ms,
                     clock_ms=worker.clock_ms,
                     clock_age_s=round(now_s - worker.clock_received_s, 2),
                 )
-                for run in list(worker.runs.values()):
+                for run in ended:
                     self.record_end(run, END_EXPIRED, "")
             if self.is_removable(worker, now_s):
                 del self.state.workers[worker.id]
+                if worker.runs:
+                    self.begin_incarnation(worker, now_s)
+
+    def ended_runs(self, worker: Worker, now_s: float) -> list[Run]:
+        """Return the runs that have ended with the worker or its lease.
+
+        If a worker has restarted under its id, a start that the earlier
+        incarnation has not confirmed may have reached the later one.
+        """
+        runs = list(worker.runs.values())
+        if not worker.terminated:
+            expired = worker.failed_polls and now_s > worker.lease_expiry_s()
+            return runs if expired else []
+        record = self.state.registry.get(worker.id)
+        if record and record.started_ms != worker.record.started_ms:
+            return [run for run in runs if run.confirmed_ms]
+        return runs
+
+    def begin_incarnation(self, worker: Worker, now_s: float) -> None:
+        """Replace a restarted worker whose starts may have reached the next.
+
+        The lease of such a run is limited only by the platform's maximum,
+        since its deadline was a time of the earlier incarnation's clock.
+        """
+        state = self.state
+        successor = Worker(state.registry[worker.id], now_s)
+        successor.clock_received_s = now_s
+        successor.lease_deadline_ms = state.settings.jobs.max_hold_ms
+        state.workers[worker.id] = successor
+        for run in worker.hand_over_runs(successor):
+            self.orders.await_report(run, now_s)
 
     def is_removable(self, worker: Worker, now_s: float) -> bool:
         """Return whether a worker needs no more polls."""
-        if worker.runs or worker.poll_in_flight or worker.orders_in_flight:
+        if worker.poll_in_flight or worker.orders_in_flight:
             return False
         if worker.immediate_poll_in_flight:
             return False
         if worker.terminated:
             return True
+        if worker.runs:
+            return False
         silent = worker.failed_polls > 3 and now_s > worker.lease_expiry_s()
         return not worker.in_registry and silent
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -250,6 +250,15 @@
             run.task.runs.remove(run)
         self.update_allocated()
 
+    def hand_over_runs(self, successor: "Worker") -> list[Run]:
+        """Move the remaining runs to the next incarnation."""
+        runs, self.runs = list(self.runs.values()), {}
+        for run in runs:
+            run.worker = successor
+            successor.runs[run.key] = run
+        successor.update_allocated()
+        return runs
+
     def update_allocated(self) -> None:
         """Sum the needs of the runs; best-effort runs need no processors."""
         processors = memory = 0.0
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -878,3 +878,58 @@
     world.run(4.0)
     assert [task for task, _, _ in world.running("j1")] == ["j1.0.0.0"]
     assert not world.violations
+
+
+def restarted_worker(world):
+    """Restart a worker under its id, unnoticed by the coordinator."""
+    world.lead()
+    world.run(2.0)
+    world.workers.hold_polls("pool-a-0")
+    old = world.workers.workers["pool-a-0"]
+    entry = old.entry._replace(started_ms=old.entry.started_ms + 1)
+    world.workers.workers["pool-a-0"] = type(old)(entry, world.clock)
+    return entry
+
+
+def test_a_run_on_a_restarted_worker_is_not_started_again():
+    """Guards against a second run beside one that the next life accepted.
+
+    A worker restarts under its id and accepts a start before a report tells
+    the coordinator about the restart.
+    """
+    world = World(workers=2)
+    restarted_worker(world)
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.1)
+    assert world.running("j1") == [("j1.0.0.0", 1, "pool-a-0")]
+    world.workers.release_polls()
+    world.run(2.0)
+    assert not world.violations
+    assert len(world.running("j1")) == 1
+    world.finish("j1")
+    world.run(0.5)
+    assert stored(world, "j1").state == DONE
+
+
+def test_a_delayed_start_on_a_restarted_worker_is_not_replaced():
+    """Guards against a second run beside one whose start had no response.
+
+    The registry tells the coordinator about the restart, and the next life
+    is out of reach for a while.
+    """
+    world = World(workers=2)
+    entry = restarted_worker(world)
+    worker = world.workers.workers["pool-a-0"]
+    worker.mode = "lost"
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.1)
+    assert world.running("j1") == [("j1.0.0.0", 1, "pool-a-0")]
+    worker.mode = "dark"
+    world.workers.release_polls()
+    world.coordinator.register_worker(entry)
+    world.run(2.0)
+    assert len(world.running("j1")) == 1
+    worker.mode = "up"
+    world.run(2.0)
+    assert not world.violations
+    assert len(world.running("j1")) == 1
