--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -120,9 +120,7 @@
     def start(self):
         """Publish the records and begin periodic work."""
         self.running = True
-        self.job_index.replace(
-            self.group.delivered_items(), 0, self.loop.clock()
-        )
+        self.read_store()
         self.election.handle_first_read()
         self.election.eligible = True
         self.presence.start()
@@ -131,12 +129,15 @@
     def run(self):
         """Apply what the watch delivers, then do periodic work."""
         if self.running:
-            self.job_index.replace(
-                self.group.delivered_items(), 0, self.loop.clock()
-            )
+            self.read_store()
             self.election.run()
             self.loop.call_later(PERIOD_S, self.run)
 
+    def read_store(self):
+        """Apply what the watch has delivered."""
+        items, revision = self.group.delivered()
+        self.job_index.replace(items, revision, self.loop.clock())
+
     def crash(self):
         """Stop without withdrawing the records."""
         self.running = False
@@ -175,13 +176,13 @@
             self.members[name] = Member(self, name, **size)
         return [self.members[f"{prefix}-{n}"] for n in range(count)]
 
-    def delivered_items(self):
-        """Return the contents of the store before the delay of watches."""
+    def delivered(self):
+        """Return the store's contents and revision as watches deliver them."""
         before_s = self.loop.clock() - WATCH_DELAY_S
-        found = []
-        for time_s, items in self.history:
+        found = [], 0
+        for time_s, items, revision in self.history:
             if time_s <= before_s:
-                found = items
+                found = items, revision
         return found
 
     def wait(self, for_s, until=lambda: False):
@@ -190,7 +191,8 @@
         while self.loop.clock() < began_s + for_s and not until():
             self.loop.advance(0.05)
             items = list(self.store.items.values())
-            self.history.append((self.loop.clock(), items))
+            state = (self.loop.clock(), items, self.store.revision)
+            self.history.append(state)
             del self.history[:-10]
         return self.loop.clock() - began_s
 
@@ -224,7 +226,7 @@
     def end_leader(self):
         """Let the leader crash and its lease expire."""
         self.leader.crash()
-        del self.store.items[LEADER]
+        self.store.revoke_lease(self.store.items[LEADER].lease)
 
 
 def unequal_group(seed, small_count=31, large_count=6):
@@ -274,7 +276,7 @@
     group.settle()
     for member in group.members.values():
         member.crash()
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     group.wait(1.0)
     restarted_large = group.add("large", len(large), **LARGE)
     for member in group.add("small", len(small), **SMALL) + restarted_large:
@@ -339,7 +341,7 @@
     group.settle()
     for member in large:
         member.store.mode = "down"
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
     assert group.leader not in large
 
@@ -350,7 +352,7 @@
     group.settle()
     for member in large:
         member.store.mode = "down"
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     group.wait_for_leader()
     assert group.leader not in large
     return group, large
@@ -422,7 +424,7 @@
     smallest, *others = group.members.values()
     for member in others:
         member.crash()
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
     assert group.leader is smallest
 
@@ -488,7 +490,7 @@
     group.store.put(f"{ENTRY}old", b'["10.0.0.2:7000","dc-1"]')
     group.wait(1.0)
     assert set(member.job_index.entries) == {"old", "new-0"}
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     member.election.resign("test")
     assert group.wait_for_leader() <= 2 * ATTEMPT_S
 
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -182,6 +182,7 @@
         """Revoke a lease and delete its keys."""
         for key in [k for k, kv in self.items.items() if kv.lease == lease]:
             del self.items[key]
+            self.revision += 1
         return settled()
 
 
