Don't take a silent registry for dead workers while the store is away

A task ran twice if it was done on a worker that the leader did not reach while the store was away for all: nobody can write to the registry then, so 4 s later the worker counted as dead and the task was started again, before the end was read. Found in a review of the wait for reports.

Silence counts from the time when the leader's lease was last unconfirmed. test_a_done_task_does_not_start_again_while_the_store_is_away failed before with a second start.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -176,6 +176,8 @@
     def tick(self, now_s: float) -> None:
         """Do the periodic work."""
         state = self.state
+        if not state.lease_confirmed():
+            state.unconfirmed_s = now_s
         for record in state.registry.values():
             if record.id not in state.workers:
                 state.workers[record.id] = Worker(record, now_s)
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -24,7 +24,6 @@
 #: second.
 SUPERSEDED_NOTICE_S = 1.5
 
-
 #: Time after the expiry of a task lease for which the report of a worker that
 #: is alive but does not respond is awaited. Jobs of a few seconds are worth
 #: nothing after it.
@@ -98,6 +97,9 @@
         #: Evidence of a later leader (a higher fencing token or a changed
         #: leader key), empty if there is none.
         self.superseded = ""
+        #: When the leader lease was last unconfirmed. Until then workers may
+        #: have been unable to write to the registry.
+        self.unconfirmed_s = -1e9
 
     def queue_of(self, stored: Queue, version: int) -> Queue:
         """Return the queue settings that apply to a job.
@@ -159,8 +161,12 @@
         return self.term.began_s + longest_s + LEASE_EXPIRY_MARGIN_S
 
     def is_alive(self, worker: Worker) -> bool:
-        """Return whether a worker has recently written to the registry."""
-        silent_s = self.clock() - worker.registered_s
+        """Return whether a worker has recently written to the registry.
+
+        Time in which the store may have been unavailable does not count.
+        """
+        since_s = max(worker.registered_s, self.unconfirmed_s)
+        silent_s = self.clock() - since_s
         return not worker.terminated and silent_s < REGISTRATION_ALIVE_S
 
     def unreached_live_workers(self, pool: str) -> bool:
--- a/test/jobs/test_expired_leases.py
+++ b/test/jobs/test_expired_leases.py
@@ -12,14 +12,14 @@
 LONG_RUNNING = SHORT._replace(long_running=True)
 
 
-def run_out_of_reach(step):
+def run_out_of_reach(step, workers=2):
     """Start a task on a worker that then stops responding.
 
     It stays alive in the registry.
 
     :returns: the world and the worker.
     """
-    world = World(workers=2)
+    world = World(workers=workers)
     world.lead()
     world.run()
     world.submit("j1", step)
@@ -82,3 +82,21 @@
     ((_, _, other),) = world.running("j1")
     assert other != worker.entry.id
     assert not world.violations
+
+
+def test_a_done_task_does_not_start_again_while_the_store_is_away():
+    """Guards against reading a silent registry as a dead worker.
+
+    No worker can write to the registry while the store is away; the
+    coordinator goes on, and does not reach one worker for some seconds.
+    """
+    world, worker = run_out_of_reach(SHORT, workers=5)
+    world.lease.lose()
+    world.renew_registrations = lambda: None
+    world.run(0.5)
+    world.finish("j1")
+    world.run(5.0)
+    worker.unreachable_by.clear()
+    world.run(2.0)
+    assert len(world.starts["j1.0.0.0"]) == 1
+    assert not world.violations
