Repeat a start only where the task may still be placed

Since a repeat waits for a poll, it may come seconds after the first sending. It went to a worker that was leaving by then (DRAIN), whose machine was being emptied, or that had changed its pool (ROUTE). Found in a review.

Such a run is stopped instead, and its task placed elsewhere.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -350,6 +350,18 @@
 
         call.add_done_callback(handle_response)
 
+    def may_repeat(self, run: Run) -> bool:
+        """Return whether the start of a run may still be sent again."""
+        record, task = run.worker.record, run.task
+        return bool(
+            task
+            and self.state.may_start()
+            and run.worker.in_registry
+            and record.pool == task.job.queue.pool
+            and not record.leaving
+            and not run.worker.cordon_reason
+        )
+
     def resend_unanswered(self, now_s: float) -> None:
         """Repeat orders without a response; stop runs left unconfirmed."""
         for worker in self.state.workers.values():
@@ -359,9 +371,10 @@
                 if run.in_flight or run.phase not in (UNCONFIRMED, STOPPING):
                     continue
                 if worker.fence_confirmed_s <= run.unanswered_s:
-                    worker.request_immediate_poll(now_s)
+                    if now_s >= run.unanswered_s:
+                        worker.request_immediate_poll(now_s)
                 elif run.phase == UNCONFIRMED:
-                    if run.tries < 2 and self.state.may_start():
+                    if run.tries < 2 and self.may_repeat(run):
                         self.send_start(run)
                     else:
                         self.stop(run, "start had no answer")
--- a/test/jobs/test_unanswered_orders.py
+++ b/test/jobs/test_unanswered_orders.py
@@ -5,6 +5,7 @@
 from cyclamenscale.errors import CallUnansweredError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import Step
+from cyclamenscale.jobs.ports import OrderResponse
 from test.jobs.world import World, settled
 
 LONG_RUNNING = Step(
@@ -99,3 +100,55 @@
     world.run(2.0)
     # A regular and an immediate poll every 0.4 s.
     assert len(polls) <= 12
+
+
+def lose_start_and_worker():
+    """Lose a start before it reaches a worker that then falls silent."""
+    world = World(workers=1)
+    coordinator = world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    start = world.workers.start
+    orders = []
+
+    def lose_first(record, order):
+        orders.append(order)
+        if len(orders) == 1:
+            worker.unreachable_by.add(coordinator.state.term.fence)
+        return start(record, order)
+
+    world.workers.start = lose_first
+    world.submit("j1", SHORT)
+    world.run(2.0)
+    assert len(orders) == 1
+    return world, worker, orders
+
+
+def test_a_start_is_not_repeated_on_a_leaving_worker():
+    """Guards against a late repeat of a start on a draining worker."""
+    world, worker, _ = lose_start_and_worker()
+    worker.entry = worker.entry._replace(leaving=True)
+    world.coordinator.register_worker(worker.entry)
+    world.run(2.5)
+    worker.unreachable_by.clear()
+    world.run(1.0)
+    assert not world.violations
+
+
+def test_a_start_is_not_repeated_on_a_cordoned_worker():
+    """Guards against a late repeat on a worker whose machine is cordoned."""
+    world, worker, orders = lose_start_and_worker()
+    world.coordinator.state.workers["pool-a-0"].cordon_reason = "move"
+    worker.unreachable_by.clear()
+    world.run(0.3)
+    assert len(orders) == 1
+
+
+def test_a_task_on_a_worker_of_another_pool_is_not_repeated():
+    """Guards against a late repeat after a worker has changed its pool."""
+    world, worker, orders = lose_start_and_worker()
+    worker.entry = worker.entry._replace(pool="pool-b")
+    world.coordinator.register_worker(worker.entry)
+    worker.unreachable_by.clear()
+    world.run(0.3)
+    assert len(orders) == 1
