Pause between orders and polls that an unhealthy worker refuses

A worker that answers 429 or 503 got each stop again on every tick, 41 times in 2 s, and 20 polls a second after an order without a response: its refusal cleared the immediate poll, and the next tick asked for it again.

A refused poll now counts like one without a response, with the same growing delay, and a refused stop is sent again only after a pause and a later poll. Both tests failed before with these counts.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -333,6 +333,9 @@
             )
         elif response.reason == "other_life":
             worker.terminated = True
+        else:
+            # The worker has done nothing; it may take the stop later.
+            run.unanswered_s = now_s + REFUSED_PAUSE_S
 
     def throttle(self, run: Run, percent: int) -> None:
         """Throttle a run to a percentage of its full speed."""
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -164,10 +164,10 @@
         now_s: float,
     ) -> None:
         """Handle the response to a long or an immediate poll."""
-        worker.immediate_poll_due_s = 0.0
         if isinstance(response, OrderResponse):
             self.handle_refusal(worker, response, now_s)
         else:
+            worker.immediate_poll_due_s = 0.0
             self.handle_report(worker, response, sent_s, now_s)
 
     def handle_report(
@@ -221,7 +221,7 @@
     def record_failed_poll(
         self, worker: Worker, reason: str, now_s: float
     ) -> None:
-        """Record a poll without a response."""
+        """Record a poll without a report."""
         worker.failed_polls += 1
         slow = worker.failed_polls > QUICK_RETRIES
         worker.poll_due_s = now_s + (
@@ -241,7 +241,6 @@
         self, worker: Worker, response: OrderResponse, now_s: float
     ) -> None:
         """Handle a poll that the worker refused."""
-        worker.poll_due_s = now_s + RETRY_DELAY_S
         if response.reason == "fence":
             self.state.superseded = (
                 f"worker {worker.id} has seen a higher fence"
@@ -249,7 +248,9 @@
         elif response.reason == "other_life":
             worker.terminated = True
         else:
-            worker.failed_polls += 1
+            self.record_failed_poll(worker, response.reason, now_s)
+            if worker.immediate_poll_due_s:
+                worker.immediate_poll_due_s = worker.poll_due_s
 
     def apply_report(
         self, worker: Worker, report: WorkerReport, now_s: float
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -53,8 +53,8 @@
     :ivar inherited: whether another term started it, so that its start time
         is unknown.
     :ivar in_flight: whether an order for it has no response yet.
-    :ivar unanswered_s: when its latest order ended without a useful
-        response, 0 if none did.
+    :ivar unanswered_s: a poll sent after this time tells what became of its
+        latest order; 0 if that had a response.
     """
 
     __slots__ = (
--- a/test/jobs/test_unanswered_orders.py
+++ b/test/jobs/test_unanswered_orders.py
@@ -152,3 +152,49 @@
     worker.unreachable_by.clear()
     world.run(0.3)
     assert len(orders) == 1
+
+
+def test_stops_refused_by_an_unhealthy_worker_are_bounded():
+    """Guards against a stop on each tick while a worker responds 503."""
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.submit("j1", SHORT)
+    world.run()
+    sent = Counter()
+
+    def stop(worker, order):
+        sent[order.task] += 1
+        return settled(OrderResponse(False, "unhealthy"))
+
+    world.workers.stop = stop
+    world.coordinator.cancel_job("j1")
+    world.run(2.0)
+    assert sent["j1.0.0.0"] <= 12
+
+
+def test_polls_refused_by_an_unhealthy_worker_are_bounded():
+    """Guards against polls on each tick while a worker responds 503.
+
+    A start has had no response, so immediate polls are due as well.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    polls = []
+
+    def refuse(worker, request, new_connection=False):
+        polls.append(request)
+        return settled(OrderResponse(False, "unhealthy"))
+
+    def lose(worker, order):
+        world.workers.poll = refuse
+        return settled(error=CallUnansweredError("silent"))
+
+    world.workers.start = lose
+    world.submit("j1", SHORT)
+    world.run(2.0)
+    polls.clear()
+    world.run(1.0)
+    # As for a silent worker: a regular and an immediate one every 0.4 s.
+    assert len(polls) <= 6
