Send the placement ticket with a repeated start too

On a queue with placement advice a start without a response was repeated without its ticket, so the worker refused it and the run was stopped.

The run keeps the ticket. test_a_repeated_start_carries_its_ticket failed before.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -70,6 +70,7 @@
         """Start a task on a worker that has the capacity for it."""
         state = self.state
         run = Run(task.name, number, task, worker, state.clock())
+        run.ticket = ticket
         worker.add_run(run)
         task.runs.append(run)
         if task in task.step.waiting:
@@ -88,10 +89,10 @@
             fence=state.term.fence,
         )
         state.metrics.incr("jobs.starts")
-        self.send_start(run, ticket)
+        self.send_start(run)
         return run
 
-    def send_start(self, run: Run, ticket: str = "") -> None:
+    def send_start(self, run: Run) -> None:
         """Send a start for the first time or again."""
         task, worker = run.task, run.worker
         order = StartOrder(
@@ -101,7 +102,7 @@
             self.extend_lease(worker),
             self.state.term.fence,
             task.checkpoint,
-            ticket,
+            run.ticket,
         )
         run.in_flight = True
         run.tries += 1
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -48,6 +48,7 @@
         report.
     :ivar throttle_percent: percent of full speed it was throttled to, -1 if
         unknown.
+    :ivar ticket: placement ticket that its start carries, or empty.
     :ivar tries: starts or stops sent without a response, -1 once a stop was
         accepted.
     :ivar inherited: whether another term started it, so that its start time
@@ -73,6 +74,7 @@
         "started_s",
         "task",
         "throttle_percent",
+        "ticket",
         "tries",
         "unanswered_s",
         "usage",
@@ -104,6 +106,7 @@
         self.baseline_s = 0.0
         self.usage = 0.0
         self.throttle_percent = 100
+        self.ticket = ""
         self.tries = 0
         self.inherited = False
         self.in_flight = False
--- a/test/jobs/test_unanswered_orders.py
+++ b/test/jobs/test_unanswered_orders.py
@@ -198,3 +198,24 @@
     world.run(1.0)
     # As for a silent worker: a regular and an immediate one every 0.4 s.
     assert len(polls) <= 6
+
+
+def test_a_repeated_start_carries_its_ticket():
+    """Guards against a repeat that is refused for want of a ticket."""
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    tickets = []
+    start = world.workers.start
+
+    def lose_first(worker, order):
+        tickets.append(order.ticket)
+        if len(tickets) == 1:
+            return settled(error=CallUnansweredError("lost"))
+        return start(worker, order)
+
+    world.workers.start = lose_first
+    world.coordinator.tickets.find = lambda step, worker: "t-1"
+    world.submit("j1", SHORT)
+    world.run(1.0)
+    assert tickets == ["t-1", "t-1"]
