Let a late registration of an earlier incarnation end no runs

A task ran twice if its worker had restarted under its id, a poll had told the leader so, and the registry's watch delivered the last write of the earlier incarnation after that: the living one was marked as terminated and its runs were started elsewhere. Found in a review.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -136,10 +136,20 @@
         state.mark_changed()
 
     def register_worker(self, record: WorkerRecord) -> None:
-        """Record a new or changed registration of a worker."""
+        """Record a new or changed registration of a worker.
+
+        One of an earlier incarnation, which a poll may have shown to be over
+        before the watch delivers it, changes nothing. Wall clocks may jump
+        back, so it counts if the known incarnation does not respond.
+        """
         state = self.state
-        state.registry[record.id] = record
+        known = state.registry.get(record.id)
         worker = state.workers.get(record.id)
+        if known and record.started_ms < known.started_ms:
+            if worker and not worker.failed_polls:
+                worker.request_immediate_poll(state.clock())
+                return
+        state.registry[record.id] = record
         if worker and worker.record.started_ms == record.started_ms:
             if record.leaving and not worker.record.leaving:
                 state.events.note("worker.leaving", worker=record.id)
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -935,3 +935,61 @@
     world.run(2.0)
     assert not world.violations
     assert len(world.running("j1")) == 1
+
+
+def restart(world, worker):
+    """Start a worker again under its id; it knows nothing of before."""
+    worker.entry = worker.entry._replace(
+        started_ms=worker.entry.started_ms + 1
+    )
+    worker.started_s = world.clock()
+    worker.fence = worker.deadline_ms = worker.ends_count = 0
+    worker.runs.clear()
+    worker.stopped.clear()
+    worker.ends.clear()
+
+
+def test_an_earlier_registration_ends_no_later_incarnation():
+    """Guards against a late registry event that drops live runs.
+
+    A worker starts again under its id. The coordinator learns so from a
+    poll, before the watch delivers the last write of the earlier life.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    earlier = worker.entry
+    restart(world, worker)
+    world.renew_registrations = lambda: None
+    world.run(0.5)
+    world.submit("j1", SMALL._replace(count=2))
+    world.run()
+    assert {name for _, _, name in world.running()} == {
+        "pool-a-0",
+        "pool-a-1",
+    }
+    world.coordinator.register_worker(earlier)
+    world.run(0.5)
+    assert not world.violations
+
+
+def test_a_start_on_a_later_incarnation_is_not_dropped_with_the_earlier():
+    """Guards against a second run beside one on a worker that restarted.
+
+    A worker starts again under its id, and a start reaches it before the
+    next report says so.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    world.workers.hold_polls("pool-a-0")
+    world.run(0.1)
+    restart(world, worker)
+    world.submit("j1", SMALL._replace(count=2))
+    world.run(0.1)
+    assert worker.runs
+    world.workers.release_polls()
+    world.run(0.5)
+    assert not world.violations
