Ignore a read of the leader key from before the election

An answer "no key" to a read sent before an entry competed could come after it had won; the next event then ended its term, with a takeover more.

test_a_late_read_does_not_end_a_new_term failed before.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -204,7 +204,8 @@
 
     def handle_reread(self, done: Future) -> None:
         """Apply a direct read of the leader key."""
-        if done.exception():
+        if done.exception() or self.term or self.competing:
+            # A read that was sent before this entry competed is outdated.
             return
         if done.result() is None:
             self.job_index.leader = None
--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -542,3 +542,16 @@
     fence = group.fence
     group.wait(30.0)
     assert group.fence == fence
+
+
+def test_a_late_read_does_not_end_a_new_term():
+    """Guards against a leader that believes an answer from before its win."""
+    group = Group()
+    (member,) = group.add("e", 1)
+    answer: Future = Future()
+    election = member.election
+    answer.add_done_callback(election.handle_reread)
+    group.settle()
+    assert election.term
+    answer.set_result(None)
+    assert member.job_index.leader
