Send no stops after the end of a term

A response that a resigned coordinator read after its term could make it stop runs, such as those of a job it did not know, on a worker that its successor had not polled yet. The work was lost, also that of tasks with max_unavailable.

The end of a term marks its coordinator as superseded, and a superseded one sends no stops. test_responses_after_the_term_stop_no_runs failed before.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -408,6 +408,9 @@
         if self.registry:
             self.registry.stop()
             self.registry = None
+        if self.coordinator:
+            # Responses that are still to come must cause no orders.
+            self.coordinator.state.superseded = why
         self.coordinator = None
 
     def tick(self, coordinator: Coordinator) -> None:
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -283,8 +283,12 @@
                     self.stop(member, "a member of its gang is missing")
 
     def stop(self, run: Run, why: str) -> None:
-        """Stop a run; it is kept until its end is certain."""
-        if run.phase == STOPPING:
+        """Stop a run; it is kept until its end is certain.
+
+        After the term its successor decides, also about runs on workers that
+        have not seen the successor's fence yet.
+        """
+        if run.phase == STOPPING or self.state.superseded:
             return
         run.phase = STOPPING
         run.tries = 0
--- a/test/jobs/test_superseded_coordinator.py
+++ b/test/jobs/test_superseded_coordinator.py
@@ -220,3 +220,21 @@
     world.clock.advance(SUPERSEDED_NOTICE_S + 0.5)
     world.run(2 * world.settings.jobs.grace_s)
     assert world.running() == before
+
+
+def test_responses_after_the_term_stop_no_runs():
+    """Guards against a resigned coordinator that stops inherited runs.
+
+    It reads a report that lists a run of a job that it does not know, on a
+    worker that its successor has not polled yet.
+    """
+    world = World(workers=1)
+    coordinator = world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    world.workers.hold_polls("pool-a-0")
+    world.run(1.0)
+    worker.runs[("unknown.0.0.0", 1)] = world.clock()
+    coordinator.state.superseded = "the term has ended"
+    world.workers.release_polls()
+    assert worker.runs
