--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -155,8 +155,10 @@
         """Return the pools, beginning with another one in each pass.
 
         Otherwise the first pool would use all starts that may be in flight.
+        Passes in which none may start don't count.
         """
-        self.passes += 1
+        if not self.orders.window.is_full:
+            self.passes += 1
         ordered = sorted(pools.items())
         first = self.passes % len(ordered) if ordered else 0
         return ordered[first:] + ordered[:first]
--- a/test/jobs/test_flow_control.py
+++ b/test/jobs/test_flow_control.py
@@ -114,3 +114,35 @@
             unanswered.pop().set_result(OrderResponse(True, "", 1))
     assert sum(started.values()) == 16
     assert started["pool-a"] == started["pool-b"]
+
+
+def test_passes_with_a_full_window_do_not_pass_over_a_pool():
+    """Guards against a pool that is first only when the window is full.
+
+    Events cause a second pass between the responses to the starts.
+    """
+    world = World(workers=2, pools=("pool-a", "pool-b"))
+    coordinator = world.lead()
+    world.run()
+    coordinator.orders.window.size = 2
+    started: Counter = Counter()
+    unanswered: list[Future] = []
+
+    def start(worker, order):
+        started[worker.pool] += 1
+        unanswered.append(Future())
+        return unanswered[-1]
+
+    world.workers.start = start
+    for number in range(12):
+        for pool in ("pool-a", "pool-b"):
+            queue = QUEUE._replace(name=pool, pool=pool)
+            step = Step(4, Resources(2.0, 4.0))
+            world.submit(f"{pool}-j{number}", step, queue=queue)
+    for _ in range(16):
+        world.run(0.05)
+        coordinator.state.mark_changed()
+        coordinator.run_once()
+        while unanswered:
+            unanswered.pop().set_result(OrderResponse(True, "", 1))
+    assert started["pool-a"] and started["pool-b"]
