Fail a call whose address is unusable instead of raising

The call fails as not sent. test_an_unusable_address_fails_the_call_alone failed before with UnicodeEncodeError.

--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -148,7 +148,12 @@
         """
         curl = self.idle.pop() if self.idle else new_handle()
         pending = PendingCall()
-        curl.setopt(pycurl.URL, url)
+        try:
+            curl.setopt(pycurl.URL, url)
+            curl.setopt(pycurl.HTTPHEADER, [*COMMON_HEADERS, *headers])
+        except (pycurl.error, UnicodeError) as error:
+            pending.outcome.set_exception(CallNotSentError(str(error)))
+            return pending.outcome
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
         curl.setopt(pycurl.WRITEDATA, pending.body)
         curl.setopt(pycurl.PREREQFUNCTION, pending.count_attempt)
@@ -160,10 +165,6 @@
             curl.setopt(pycurl.POSTFIELDS, body or b"")
         if method not in ("GET", "POST"):
             curl.setopt(pycurl.CUSTOMREQUEST, method)
-        curl.setopt(
-            pycurl.HTTPHEADER,
-            [*COMMON_HEADERS, *headers],
-        )
         self.pending[curl] = pending
         self.calls += 1
         self.load = self.load._replace(calls=self.load.calls + 1)
--- a/test/util/test_http_client.py
+++ b/test/util/test_http_client.py
@@ -117,3 +117,9 @@
     """Return a port on which nothing listens."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return listener.getsockname()[1]
+
+
+def test_an_unusable_address_fails_the_call_alone():
+    """Guards against a registration that stops the polls of all workers."""
+    call = send(HttpClient(Loop()), "http://b\u00e9ta:1/hold")
+    assert isinstance(call.exception(), CallNotSentError)
