Grant leases of the stand-in platform to the millisecond

The stand-in rounded a lease of 1500 ms down to 1 s, so that an entry that renewed its lease in time could lose the leader key in a test, and its successor came sooner than on the platform. It now takes the time as asked. Watches read their events from the end of the history instead of searching all of it on each change, as the store's own events_from does.

--- a/cyclamenscale/standin/state.py
+++ b/cyclamenscale/standin/state.py
@@ -101,7 +101,7 @@
 class Lease:
     """A lease with its deadline on the state's clock and its keys."""
 
-    def __init__(self, ttl_s: int, deadline_s: float):
+    def __init__(self, ttl_s: float, deadline_s: float):
         """Initialise with no keys."""
         self.ttl_s = ttl_s
         self.deadline_s = deadline_s
@@ -283,7 +283,7 @@
             while self.history and self.history[0][0] <= revision:
                 self.history.popleft()
 
-    def grant(self, ttl_s: int) -> int:
+    def grant(self, ttl_s: float) -> int:
         """Grant a lease.
 
         :returns: id of the lease.
@@ -297,7 +297,7 @@
             self.leases[lease_id] = Lease(ttl_s, self.clock() + ttl_s)
             return lease_id
 
-    def keep_alive(self, lease_id: int) -> int:
+    def keep_alive(self, lease_id: int) -> float:
         """Renew a lease.
 
         :returns: its time to live in seconds; 0 if it does not exist.
--- a/test/platform/standin.py
+++ b/test/platform/standin.py
@@ -11,6 +11,7 @@
 from msgspec import json
 from werkzeug.wrappers import Request, Response
 
+from cyclamenscale.errors import CompactedError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import WorkerRecord
 from cyclamenscale.standin.http import HttpServer, connection_dropped
@@ -79,10 +80,12 @@
     :ivar second_refuses: whether the second address responds 503.
     """
 
-    def __init__(self, workers: int = 2, task_s: float = 0.1):
+    def __init__(
+        self, workers: int = 2, task_s: float = 0.1, threads: int = 48
+    ):
         """Register workers, all with the address of this server."""
         self.state = StoreState()
-        self.server = HttpServer(self.handle, "127.0.0.1:0", 48)
+        self.server = HttpServer(self.handle, "127.0.0.1:0", threads)
         self.second_server = HttpServer(self.handle_second, "127.0.0.1:0", 24)
         self.second_refuses = False
         self.mode = "up"
@@ -166,7 +169,7 @@
             return self.txn(json.decode(request.get_data()))
         if path == "/kv-lease":
             ttl_ms = json.decode(request.get_data())["ttl-ms"]
-            lease = self.state.grant(max(ttl_ms // 1000, 1))
+            lease = self.state.grant(ttl_ms / 1000)
             return json_response({"lease": lease, "ttl-ms": ttl_ms})
         lease = int(path.rpartition("/")[2])
         if path.startswith("/kv-keep/"):
@@ -178,22 +181,20 @@
 
     def watch(self, args) -> Response:
         """Wait for changes under a prefix."""
-        prefix = args["prefix"].encode()
+        watched = prefix_range(args["prefix"])
         after = int(args["after"])
         end_s = time.monotonic() + int(args["wait-ms"]) / 1000
         with self.state.changed:
             while True:
-                if after < self.state.compacted_revision:
+                try:
+                    revision, found = self.state.events_from(
+                        watched.key, watched.range_end, after + 1
+                    )
+                except CompactedError:
                     return json_response({}, 410)
-                events = [
-                    item_json(stored)
-                    for revision, changes in self.state.history
-                    for stored in changes
-                    if revision > after and stored.key.startswith(prefix)
-                ]
+                events = [item_json(stored) for stored in found]
                 remaining_s = end_s - time.monotonic()
                 if events or remaining_s <= 0 or self.server.closing.is_set():
-                    revision = self.state.revision
                     return json_response({"events": events, "as-of": revision})
                 self.state.changed.wait(min(remaining_s, 0.2))
 
