--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -51,6 +51,8 @@
     :ivar inherited: whether another term started it, so that its start time
         is unknown.
     :ivar in_flight: whether an order for it has no response yet.
+    :ivar unanswered_s: when its latest order ended without a useful
+        response, 0 if none did.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "task",
         "throttle_percent",
         "tries",
+        "unanswered_s",
         "usage",
         "worker",
     )
@@ -102,6 +105,7 @@
         self.tries = 0
         self.inherited = False
         self.in_flight = False
+        self.unanswered_s = 0.0
 
     @property
     def serving(self) -> bool:
@@ -130,10 +134,13 @@
 
     :ivar record: its latest registration.
     :ivar fence: fencing token that it has confirmed, 0 before that.
+    :ivar fence_confirmed_s: when the latest poll that confirmed it was sent.
     :ivar clock_ms: its clock in the response that gives the best lower bound.
     :ivar clock_received_s: when that response arrived.
     :ivar lease_deadline_ms: latest end of the lease of its runs that it may
         have been given, on its own clock.
+    :ivar lease_extended_s: when an order or poll that extends that lease was
+        last sent.
     :ivar last_response_s: when it last responded to a poll with a report.
     :ivar failed_polls: polls without a report since then.
     :ivar poll_due_s: when the next long poll is due.
@@ -163,9 +170,11 @@
         """Initialise with no runs and no responses."""
         self.record = record
         self.fence = 0
+        self.fence_confirmed_s = -1e9
         self.clock_ms = 0
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
+        self.lease_extended_s = 0.0
         self.first_seen_s = now_s
         self.last_response_s = -1e9
         self.failed_polls = 0
