Try a worker on probation although it has a long-running task

Cause: three different jobs had failed on each worker of the pool, so that each was on probation, where one run at a time is tried. All three had a long-running task, which never ends, so that they were never without runs and never tried.

A worker on probation now counts as free if all its runs are long-running. One short run at a time still tries it, and a task done ends the probation.

The test failed before: no run of the job "good" started.

--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -98,8 +98,8 @@
     """A worker that tasks may be placed on in this pass.
 
     :ivar worker: the worker.
-    :ivar on_probation: whether only one task at a time may run on it, to
-        test a worker that is slow or whose runs have failed.
+    :ivar on_probation: whether only one short task at a time may run on it,
+        to test a worker that is slow or whose runs have failed.
     """
 
     worker: Worker
@@ -245,7 +245,7 @@
         worker, spec = candidate.worker, step.spec
         if worker.orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
             return False
-        if candidate.on_probation and worker.runs:
+        if candidate.on_probation and has_short_run(worker):
             return False
         if spec.label and spec.label not in worker.record.labels:
             return False
@@ -432,6 +432,14 @@
     )
 
 
+def has_short_run(worker: Worker) -> bool:
+    """Return whether a worker has a run that ends by itself."""
+    return any(
+        run.task is None or not run.task.step.spec.long_running
+        for run in worker.runs.values()
+    )
+
+
 def multiply(need, factor: int):
     """Multiply resources by a factor."""
     return type(need)(*(part * factor for part in need))
--- a/test/jobs/test_placement.py
+++ b/test/jobs/test_placement.py
@@ -88,3 +88,28 @@
     world.finish("s1")
     world.run()
     assert world.running("long")
+
+
+def test_a_worker_on_probation_with_a_long_running_task_is_tried():
+    """Guards against a pool that stops for good after some failed jobs.
+
+    A long-running task never ends, so that a worker on probation that has
+    one would never be without runs.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    world.submit("long", Step(1, Resources(1.0, 1.0), long_running=True))
+    world.run()
+    for job in ("f0", "f1", "f2"):
+        world.submit(job, Step(1, Resources(1.0, 1.0)))
+    world.run()
+    for job in ("f0", "f1", "f2") * world.attempts:
+        world.finish(job, "failed")
+        world.run()
+    world.submit("good", Step(2, Resources(1.0, 1.0)))
+    world.run()
+    assert len(world.running("good")) == 1
+    world.finish("good")
+    world.run()
+    assert len(world.running("good")) == 1
