Soak: end all connections to a worker when its next life begins

A connection does not outlast the process at its end, so the proxy now resets the connections to a worker before its next life begins.

--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -147,8 +147,17 @@
         """Run an action on links in the event loop."""
         self.loop.call_soon_threadsafe(action, *args)
 
+    def run_now(self, *actions) -> None:
+        """Run actions on links in the event loop and wait for them."""
+
+        async def run_all() -> None:
+            for action in actions:
+                action()
+
+        asyncio.run_coroutine_threadsafe(run_all(), self.loop).result(10)
+
     def heal(self) -> None:
-        """End all faults, and reset connections that held data."""
+        """End the faults of all links."""
         for link in self.links.values():
             self.run(link.heal)
 
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -255,6 +255,17 @@
         entry.restart_s = monotonic() + after_s
         entry.signal(number)
 
+    def begin_life(self, number: int, worker_id: str = "") -> None:
+        """Begin a worker's next life; no connection outlasts a life."""
+        port = self.platform.worker_servers[number].port
+        self.proxy.run_now(
+            *(
+                self.proxy.links[(entry.host, port)].reset
+                for entry in self.entries
+            )
+        )
+        self.platform.begin_life(number, worker_id)
+
     # After the faults.
 
     def recover(self) -> None:
@@ -492,9 +503,9 @@
     worker.end_life()
     if fault.loses:
         # It starts again under its id.
-        return lambda: platform.begin_life(fault.worker, worker_id)
+        return lambda: soak.begin_life(fault.worker, worker_id)
     soak.later(RECORD_S, partial(platform.remove_record, worker_id))
-    return lambda: platform.begin_life(fault.worker)
+    return lambda: soak.begin_life(fault.worker)
 
 
 @injector("worker_drain")
@@ -511,7 +522,7 @@
         if worker.up and worker.life == life:
             worker.end_life()
             platform.remove_record(life.id)
-            platform.begin_life(fault.worker)
+            soak.begin_life(fault.worker)
 
     return leave
 
