--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -7,8 +7,11 @@
 from test.soak.run import INJECTORS, Soak
 from test.soak.schedule import KIND_WEIGHTS, draw_faults
 
+#: Some of the seeds that ever failed; ``--seeds failed`` runs all of them.
+SEEDS = (5, 9, 10, 30)
 
-@pytest.mark.parametrize("seed", [2, 15, 19, 28])
+
+@pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_under_faults(seed, tmp_path):
     """Guards against promises that break when faults overlap.
 
