--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -25,6 +25,7 @@
     ProgressRecord,
     WorkerRecord,
 )
+from cyclamenscale.jobs.precedence import capacity_of
 from cyclamenscale.jobs.presence import Presence
 from cyclamenscale.jobs.registry import WorkerRegistry
 from cyclamenscale.jobs.relay import Relay, Responder
@@ -141,6 +142,7 @@
             rng,
             self.begin_term,
             self.end_term,
+            self.request_lead,
         )
         wait_ms = settings.jobs.watch_ms
         self.job_watch = PrefixWatch(
@@ -168,13 +170,12 @@
         self.events.note("entry.start", settings=self.settings.entry._asdict())
         if self.responder:
             self.peer_calls.start(self.responder.handle)
-            self.publish_presence()
         self.job_watch.start()
         self.operator_watch.start()
         self.run_periodically()
 
     def publish_presence(self) -> None:
-        """Publish the address at which peers reach this entry."""
+        """Publish this entry's address and capacity to its peers."""
         entry = self.settings.entry
         self.presence = Presence(
             self.loop,
@@ -182,9 +183,15 @@
             self.events,
             entry.name,
             EntryRecord(self.peer_calls.address, entry.data_centre),
+            capacity_of(entry),
         )
         self.presence.start()
 
+    def request_lead(self) -> None:
+        """Ask the leader to resign in favour of this entry."""
+        if self.presence:
+            self.presence.request_lead()
+
     def run_periodically(self) -> None:
         """Do periodic work and schedule the next round."""
         self.loop.call_later(PERIOD_S, self.run_periodically)
@@ -234,6 +241,9 @@
     def replace_jobs(self, items: list[KeyValue], revision: int) -> None:
         """Apply a full read of the jobs."""
         self.load_index(items, revision)
+        if self.responder and not self.presence:
+            self.election.handle_first_read()
+            self.publish_presence()
         self.update_peers()
         self.update_coordinator(items)
         self.check_leader()
@@ -275,6 +285,9 @@
     def check_leader(self) -> None:
         """End the term if another entry leads; try to lead if none does."""
         leader, term = self.job_index.leader, self.election.term
+        if term and self.job_index.revision < term.fence:
+            # The index does not include the election yet.
+            return
         if term and leader and leader.fence > term.fence:
             self.election.resign(f"{leader.node} leads")
         elif term and leader is None:
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -6,8 +6,10 @@
 from cyclamenscale.jobs.keys import (
     CANCEL,
     ENTRY,
+    ENTRY_CAPACITY,
     FLEET,
     JOB,
+    LEAD_REQUEST,
     LEADER,
     PROGRESS,
     WAVE,
@@ -16,6 +18,7 @@
     CANCELLED,
     FINAL_STATES,
     QUEUED,
+    EntryCapacity,
     EntryRecord,
     FleetRecord,
     JobRecord,
@@ -87,11 +90,17 @@
         """Initialise with no jobs and no leader."""
         self.jobs: dict[str, IndexedJob] = {}
         self.leader: Leader | None = None
+        #: Revision of the latest change of the leader's key.
+        self.leader_revision = 0
         #: Progress of waves by number.
         self.waves: dict[int, WaveRecord] = {}
         self.fleet = FleetRecord()
         #: Locations of the entries by name.
         self.entries: dict[str, EntryRecord] = {}
+        #: Capacities of the entries that publish them, by name.
+        self.capacities: dict[str, EntryCapacity] = {}
+        #: Revisions of the entries' latest requests to lead, by name.
+        self.lead_requests: dict[str, int] = {}
         self.revision = 0
         self.loaded = False
 
@@ -110,11 +119,7 @@
         key = item.key
         deleted = not item.create_revision
         if key == LEADER:
-            self.leader = (
-                None
-                if deleted
-                else Leader(item.value.decode(), item.mod_revision, item.lease)
-            )
+            self.apply_leader(item, deleted)
         elif key.startswith(JOB):
             self.apply_job(key.removeprefix(JOB), item, deleted)
         elif key.startswith(PROGRESS) and not deleted:
@@ -133,10 +138,35 @@
             else:
                 record = decode_record(item.value, EntryRecord, key)
                 self.entries[name] = record
+        elif key.startswith(ENTRY_CAPACITY):
+            name = key.removeprefix(ENTRY_CAPACITY)
+            if deleted:
+                self.capacities.pop(name, None)
+            else:
+                capacity = decode_record(item.value, EntryCapacity, key)
+                self.capacities[name] = capacity
+        elif key.startswith(LEAD_REQUEST):
+            name = key.removeprefix(LEAD_REQUEST)
+            if deleted:
+                self.lead_requests.pop(name, None)
+            else:
+                self.lead_requests[name] = item.mod_revision
         elif key.startswith(CANCEL) and not deleted:
             self.get_or_create(key.removeprefix(CANCEL)).cancelled = True
             self.record_end(key.removeprefix(CANCEL), now_s)
 
+    def apply_leader(self, item: KeyValue, deleted: bool) -> None:
+        """Apply the state of the leader's key unless a newer one is known."""
+        revision = item.mod_revision
+        if revision < self.leader_revision:
+            return
+        self.leader_revision = revision
+        self.leader = (
+            None
+            if deleted
+            else Leader(item.value.decode(), revision, item.lease)
+        )
+
     def update_progress(
         self, job: str, record: ProgressRecord, revision: int, now_s: float
     ) -> None:
@@ -171,8 +201,11 @@
         :param items: all keys of the job subsystem.
         :returns: messages of the keys that can't be decoded.
         """
-        self.leader = None
+        if revision >= self.leader_revision:
+            self.leader = None
         self.entries = {}
+        self.capacities = {}
+        self.lead_requests = {}
         kept = {
             item.key.removeprefix(JOB)
             for item in items
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -17,7 +17,7 @@
 from cyclamenscale.jobs.orders import WorkerOrders
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, WorkerCalls
 from cyclamenscale.jobs.speeds import SpeedMonitor
-from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.state import REPORT_WAIT_S, State
 from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
     RUNNING,
@@ -187,11 +187,23 @@
                 silent_s=round(now_s - worker.last_response_s, 2),
             )
         worker.failed_polls = 0
+        worker.report_awaited = False
         worker.last_response_s = now_s
         first = worker.fence != state.term.fence
         worker.fence = state.term.fence
         worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
+        if first:
+            # An earlier leader may have renewed the lease just before; runs
+            # from before a restart may have the longest lease.
+            lease_ms = (
+                state.settings.jobs.max_hold_ms
+                if worker.runs
+                else int(state.task_lease_s * 1000)
+            )
+            worker.lease_deadline_ms = max(
+                worker.lease_deadline_ms, report.clock_ms + lease_ms
+            )
         self.apply_report(worker, report, now_s)
         if worker.last_applied_end > worker.last_acknowledged_end:
             # The next poll becomes due as soon as the ends are stored.
@@ -299,7 +311,7 @@
         self, worker: Worker, report: RunReport, clock_ms: int, now_s: float
     ) -> None:
         """Inherit a run that this term did not start."""
-        task = self.find_task(report.task)
+        task = self.find_started_task(report.task)
         run = Run(report.task, report.run, task, worker, now_s)
         run.inherited = True
         run.phase = RUNNING
@@ -329,7 +341,7 @@
             for run in worker.runs.values():
                 if run.task or not run.name.startswith(prefix):
                     continue
-                task = self.find_task(run.name)
+                task = self.find_started_task(run.name)
                 if not task:
                     continue
                 worker.set_task(run, task)
@@ -338,18 +350,19 @@
                 if task in task.step.waiting:
                     task.step.waiting.remove(task)
 
-    def find_task(self, name: str) -> Task | None:
-        """Return the task with a name, if its occurrence is open."""
+    def find_started_task(self, name: str) -> Task | None:
+        """Return a task that a worker reported, if its job knows it."""
         parts = parse_task(name)
-        if not parts:
+        job = self.state.jobs.get(parts[0]) if parts else None
+        if not job:
             return None
-        job = self.state.jobs.get(parts[0])
-        return job.find_task(*parts[1:]) if job else None
+        job.open_started_occurrence(parts[1], self.state.clock())
+        return job.find_task(*parts[1:])
 
     def apply_end(self, worker: Worker, end: EndReport, now_s: float) -> None:
         """Apply a reported end of a run."""
         run = worker.runs.get((end.task, end.run))
-        task = self.find_task(end.task)
+        task = self.find_started_task(end.task)
         if run is None:
             # It is from an earlier term, or was dropped as expired.
             run = Run(end.task, end.run, task, worker, now_s)
@@ -440,32 +453,83 @@
         """Drop runs that have certainly ended, and unneeded workers."""
         for worker in list(self.state.workers.values()):
             if worker.runs and (
-                worker.terminated
-                or (worker.failed_polls and now_s > worker.lease_expiry_s())
+                worker.terminated or self.has_expired(worker, now_s)
             ):
-                self.state.events.note(
-                    "worker.lapsed",
-                    worker=worker.id,
-                    gone=worker.terminated,
-                    runs=len(worker.runs),
-                    silent_s=round(now_s - worker.last_response_s, 2),
-                    extended_age_s=round(now_s - worker.lease_extended_s, 2),
-                    deadline_ms=worker.lease_deadline_ms,
-                    clock_ms=worker.clock_ms,
-                    clock_age_s=round(now_s - worker.clock_received_s, 2),
-                )
-                for run in list(worker.runs.values()):
-                    self.record_end(run, END_EXPIRED, "")
+                self.drop_ended_runs(worker, now_s)
             if self.is_removable(worker, now_s):
                 del self.state.workers[worker.id]
+                if worker.runs:
+                    self.begin_incarnation(worker, now_s)
+
+    def has_expired(self, worker: Worker, now_s: float) -> bool:
+        """Return whether the lease of a worker's runs has expired."""
+        return bool(worker.failed_polls) and now_s > worker.lease_expiry_s()
+
+    def ended_runs(self, worker: Worker, now_s: float) -> list[Run]:
+        """Return the runs that ended with a worker's lease or incarnation.
+
+        If the worker is alive, runs that may be done are kept until its
+        report tells: the end of a run that was done before the lease expired
+        is still listed, and its task must not start again.
+
+        If a worker has restarted under its id, a start that the earlier
+        incarnation has not confirmed may have reached the later one.
+        """
+        runs = list(worker.runs.values())
+        if not worker.terminated:
+            awaits = (
+                self.state.is_alive(worker)
+                and now_s < worker.lease_expiry_s() + REPORT_WAIT_S
+            )
+            return [run for run in runs if not (awaits and run.may_be_done)]
+        record = self.state.registry.get(worker.id)
+        if record and record.started_ms != worker.record.started_ms:
+            return [run for run in runs if run.confirmed_ms]
+        return runs
+
+    def drop_ended_runs(self, worker: Worker, now_s: float) -> None:
+        """Drop the runs that ended with a worker's lease or incarnation."""
+        ended = self.ended_runs(worker, now_s)
+        if ended or not worker.report_awaited:
+            self.state.events.note(
+                "worker.lapsed",
+                worker=worker.id,
+                gone=worker.terminated,
+                runs=len(ended),
+                awaited=len(worker.runs) - len(ended),
+                silent_s=round(now_s - worker.last_response_s, 2),
+                extended_age_s=round(now_s - worker.lease_extended_s, 2),
+                deadline_ms=worker.lease_deadline_ms,
+                clock_ms=worker.clock_ms,
+                clock_age_s=round(now_s - worker.clock_received_s, 2),
+            )
+        worker.report_awaited = True
+        for run in ended:
+            self.record_end(run, END_EXPIRED, "")
+
+    def begin_incarnation(self, worker: Worker, now_s: float) -> None:
+        """Replace a restarted worker whose starts may have reached the next.
+
+        The lease of such a run is limited only by the platform's maximum,
+        since its deadline was a time of the earlier incarnation's clock.
+        """
+        state = self.state
+        successor = Worker(state.registry[worker.id], now_s)
+        successor.clock_received_s = now_s
+        successor.lease_deadline_ms = state.settings.jobs.max_hold_ms
+        state.workers[worker.id] = successor
+        for run in worker.hand_over_runs(successor):
+            self.orders.await_report(run, now_s)
 
     def is_removable(self, worker: Worker, now_s: float) -> bool:
         """Return whether a worker needs no more polls."""
-        if worker.runs or worker.poll_in_flight or worker.orders_in_flight:
+        if worker.poll_in_flight or worker.orders_in_flight:
             return False
         if worker.immediate_poll_in_flight:
             return False
         if worker.terminated:
             return True
+        if worker.runs:
+            return False
         silent = worker.failed_polls > 3 and now_s > worker.lease_expiry_s()
         return not worker.in_registry and silent
