Wait for a run that a restarted worker is still stopping

A task could run twice for the time that a stop takes. If a worker had restarted under its id and its new incarnation accepted the stop of a run that the old one had never confirmed, the stop counted as confirmed by the old one. The restart then ended the run for the coordinator, and its task started elsewhere while the new incarnation was still stopping it.

As for a start, a response whose clock is behind an earlier report confirms nothing; the run moves to the new incarnation, and the stop is repeated there.

test_a_run_that_a_restarted_worker_still_stops_is_waited_for fails on the code before: both runs are there. The tests with "jobs" or "platform" in their path pass, the mutants of the state machine among them.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -164,7 +164,7 @@
             self.handle_refused_start(run, repeated, response)
 
     def await_report(self, run: Run, now_s: float) -> None:
-        """Treat a start like one without a response."""
+        """Treat an order like one without a response."""
         run.unanswered_s = now_s
         run.worker.request_immediate_poll(now_s)
         if run.phase in (STARTING, RUNNING):
@@ -323,6 +323,12 @@
         response: OrderResponse = done.result()
         worker.record_clock(response.clock_ms, now_s)
         if response.accepted:
+            if 0 < response.clock_ms < worker.reported_ms and not (
+                run.confirmed_ms
+            ):
+                # As for a start; the stop is repeated after the report.
+                self.await_report(run, now_s)
+                return
             # A later report lists the run, unless it has ended.
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms, 1)
             run.tries = -1
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -935,3 +935,31 @@
     world.run(2.0)
     assert not world.violations
     assert len(world.running("j1")) == 1
+
+
+def test_a_run_that_a_restarted_worker_still_stops_is_waited_for():
+    """Guards against a second run beside one that the next life is stopping.
+
+    The stop takes a while, and its response came from the next life.
+    """
+    world = World(workers=2)
+    restarted_worker(world)
+    worker = world.workers.workers["pool-a-0"]
+    worker.mode = "lost"
+    world.submit("j1", SMALL._replace(count=1))
+    world.run(0.1)
+    worker.mode = "up"
+    stop = world.workers.stop
+    world.workers.stop = lambda *args: settled(
+        OrderResponse(True, "", worker.now_ms())
+    )
+    (run,) = world.coordinator.state.jobs["j1"].find_task(0, 0, 0).runs
+    world.coordinator.orders.stop(run, "test")
+    world.workers.release_polls()
+    world.run(0.5)
+    assert world.running("j1") == [("j1.0.0.0", 1, "pool-a-0")]
+    world.workers.stop = stop
+    world.finish("j1", "stopped")
+    world.run(0.5)
+    assert [number for _, number, _ in world.running("j1")] > [1]
+    assert not world.violations
