Count the headers of responses in the traffic of the HTTP client

The link of the leader's machine carries them too: about a fifth of what it receives at a thousand calls a second.

--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -60,7 +60,7 @@
     :ivar unanswered: calls that ended without a response.
     :ivar connections: connections opened.
     :ivar sent_bytes: bytes of the requests of the calls that ended.
-    :ivar received_bytes: bytes of the responses to them, without headers.
+    :ivar received_bytes: bytes of the responses to them.
     """
 
     calls: int = 0
@@ -257,7 +257,8 @@
         load = self.load
         # Headers and bodies of all attempts.
         sent_bytes = curl.getinfo(pycurl.REQUEST_SIZE)
-        received_bytes = curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
+        headers_bytes = curl.getinfo(pycurl.HEADER_SIZE)
+        received_bytes = headers_bytes + curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
         self.load = load._replace(
             connections=load.connections + curl.getinfo(pycurl.NUM_CONNECTS),
             sent_bytes=load.sent_bytes + sent_bytes,
