Let restarted workers confirm no superseded term

A task would run twice: a coordinator without a confirmed lease counted only workers that were not terminated, so that after restarts the one worker that its successor did not reach made up a majority. A poll answered by a later incarnation, which has seen no fence, counted as well.

Terminated workers now count as unconfirmed until they are replaced. test_restarted_workers_do_not_confirm_a_superseded_coordinator plays that sequence and failed before.

--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -29,6 +29,9 @@
 #: nothing after it.
 REPORT_WAIT_S = 10.0
 
+#: A time before all others.
+NEVER_S = -1e9
+
 
 class LeaseCheck(Protocol):
     """Checks whether this entry holds the leader lease."""
@@ -134,10 +137,11 @@
             return False
         if self.lease_confirmed():
             return True
+        # A later incarnation of a terminated worker confirms nothing by
+        # itself: it has seen no fence.
         confirmed_s = [
-            worker.fence_confirmed_s
+            NEVER_S if worker.terminated else worker.fence_confirmed_s
             for worker in self.workers.values()
-            if not worker.terminated
         ]
         if not confirmed_s:
             return False
--- a/test/jobs/test_superseded_coordinator.py
+++ b/test/jobs/test_superseded_coordinator.py
@@ -238,3 +238,24 @@
     coordinator.state.superseded = "the term has ended"
     world.workers.release_polls()
     assert worker.runs
+
+
+def test_restarted_workers_do_not_confirm_a_superseded_coordinator():
+    """Guards against a majority of workers that have forgotten the fence.
+
+    Two workers restart; the one that is left is reached by the superseded
+    coordinator only, which resumes and has a poll answered by a worker that
+    has seen no fence since its restart.
+    """
+    machine = JobsMachine()
+    machine.begin()
+    machine.submit("lasting")
+    machine.take_over()
+    machine.restart_worker(1)
+    machine.cut_from_new(2)
+    machine.act_as_before()
+    machine.wait(4.0)
+    machine.wait(1.0)
+    machine.restart_worker(0)
+    machine.act_as_before()
+    assert machine.world.violations == []
