--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -1,13 +1,17 @@
 """Sends orders to start, stop and throttle runs; handles the responses.
 
-A start without a response may still be carried out, even seconds later. The
-same start is sent once more; if that has no response either, the run is
-stopped, after which the worker refuses to start it.
+A start without a response may have been carried out, or may still be, even
+seconds later. A poll shows whether the worker can be reached and has the run.
+If it lacks the run, the same start is sent once more, and if that has no
+response either, the run is stopped, after which the worker refuses to start
+it. Nothing is repeated to a worker that does not respond to polls. A refusal
+applies to one sending only: an earlier one may still be carried out.
 """
 
 from concurrent.futures import Future
 
 from cyclamenscale.errors import CallError, CallNotSentError
+from cyclamenscale.jobs.flow_control import StartWindow
 from cyclamenscale.jobs.model import END_FAILED
 from cyclamenscale.jobs.ports import (
     OrderResponse,
@@ -42,17 +46,21 @@
 
     :param state: shared state of the term.
     :param calls: calls to the workers.
+    :ivar window: limit on the starts in flight to all workers.
     """
 
     def __init__(self, state: State, calls: WorkerCalls):
         """Initialise with no orders in flight."""
         self.state = state
         self.calls = calls
+        self.window = StartWindow()
 
     def extend_lease(self, worker: Worker) -> int:
         """Extend the lease of a worker's runs and return its deadline."""
+        now_s = self.state.clock()
         lease_ms = self.state.task_lease_s * 1000
-        deadline_ms = int(worker.min_clock_ms(self.state.clock()) + lease_ms)
+        deadline_ms = int(worker.min_clock_ms(now_s) + lease_ms)
+        worker.lease_extended_s = now_s
         worker.lease_deadline_ms = max(worker.lease_deadline_ms, deadline_ms)
         return worker.lease_deadline_ms
 
@@ -62,6 +70,7 @@
         """Start a task on a worker that has the capacity for it."""
         state = self.state
         run = Run(task.name, number, task, worker, state.clock())
+        run.ticket = ticket
         worker.add_run(run)
         task.runs.append(run)
         if task in task.step.waiting:
@@ -80,10 +89,10 @@
             fence=state.term.fence,
         )
         state.metrics.incr("jobs.starts")
-        self.send_start(run, ticket)
+        self.send_start(run)
         return run
 
-    def send_start(self, run: Run, ticket: str = "") -> None:
+    def send_start(self, run: Run) -> None:
         """Send a start for the first time or again."""
         task, worker = run.task, run.worker
         order = StartOrder(
@@ -93,44 +102,88 @@
             self.extend_lease(worker),
             self.state.term.fence,
             task.checkpoint,
-            ticket,
+            run.ticket,
         )
         run.in_flight = True
         run.tries += 1
+        repeated = run.tries > 1
         worker.orders_in_flight += 1
+        sent_s = self.state.clock()
+        self.window.record_sent()
         call = self.calls.start(worker.record, order)
+        call.add_done_callback(lambda done: self.adapt_window(sent_s, done))
         call.add_done_callback(
-            lambda done: self.handle_start_response(run, done)
+            lambda done: self.handle_start_response(run, repeated, done)
         )
 
-    def handle_start_response(self, run: Run, done: Future) -> None:
-        """Handle the response to a start."""
+    def adapt_window(self, sent_s: float, done: Future) -> None:
+        """Adapt the window to the time that a start's response took."""
+        now_s = self.state.clock()
+        if self.window.is_full:
+            # Tasks may be waiting for the window alone.
+            self.state.mark_changed()
+        if done.exception():
+            self.window.record_unanswered(now_s)
+        else:
+            self.window.record_response(now_s - sent_s, now_s)
+
+    def handle_start_response(
+        self, run: Run, repeated: bool, done: Future
+    ) -> None:
+        """Handle the response to a start.
+
+        :param repeated: whether an earlier sending had no response.
+        """
         run.in_flight = False
         worker = run.worker
         worker.orders_in_flight -= 1
         error = done.exception()
         if error:
-            self.handle_lost_start_response(run, error)
+            self.handle_lost_start_response(run, repeated, error)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        now_s = self.state.clock()
+        worker.record_clock(response.clock_ms, now_s)
+        if run.tries == 1:
+            took_ms = (now_s - run.started_s) * 1000
+            self.state.metrics.timing("jobs.start_response_ms", took_ms)
         if response.accepted:
+            if 0 < response.clock_ms < worker.reported_ms and not (
+                run.confirmed_ms
+            ):
+                # The worker has restarted, or a report that lacks the run
+                # has overtaken the response. The next report tells.
+                self.await_report(run, now_s)
+                return
             if run.phase in (STARTING, UNCONFIRMED):
                 run.phase = RUNNING
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms)
             run.tries = 0
             self.state.metrics.incr("jobs.starts_accepted")
         else:
-            self.handle_refused_start(run, response.reason)
+            repeated = repeated or response.resent
+            self.handle_refused_start(run, repeated, response)
 
-    def handle_lost_start_response(self, run: Run, error: CallError) -> None:
+    def await_report(self, run: Run, now_s: float) -> None:
+        """Treat a start like one without a response."""
+        run.unanswered_s = now_s
+        run.worker.request_immediate_poll(now_s)
+        if run.phase in (STARTING, RUNNING):
+            run.phase = UNCONFIRMED
+
+    def handle_lost_start_response(
+        self, run: Run, repeated: bool, error: CallError
+    ) -> None:
         """Handle a start that had no response.
 
         One lost response does not mean that the worker is unreachable; an
         immediate poll shows whether it is.
+
+        :param repeated: whether an earlier sending had no response.
         """
         state, worker = self.state, run.worker
-        worker.request_immediate_poll(state.clock())
+        run.unanswered_s = state.clock()
+        worker.request_immediate_poll(run.unanswered_s)
         state.metrics.incr("jobs.starts_unanswered")
         state.events.note(
             "task.start_unanswered",
@@ -142,14 +195,19 @@
         )
         if run.key not in worker.runs:
             return
-        if isinstance(error, CallNotSentError) and run.tries == 1:
+        if isinstance(error, CallNotSentError) and not repeated:
             self.drop_run(run)
         elif run.phase == STARTING:
             run.phase = UNCONFIRMED
 
-    def handle_refused_start(self, run: Run, reason: str) -> None:
-        """Handle a start that the worker refused."""
-        state, worker = self.state, run.worker
+    def handle_refused_start(
+        self, run: Run, repeated: bool, response: OrderResponse
+    ) -> None:
+        """Handle a start that the worker refused.
+
+        :param repeated: whether the worker may have had an earlier copy.
+        """
+        state, worker, reason = self.state, run.worker, response.reason
         now_s = state.clock()
         state.metrics.incr("jobs.starts_refused")
         state.events.note(
@@ -158,25 +216,50 @@
             run=run.number,
             worker=worker.id,
             reason=reason,
+            tries=run.tries,
+            sent_age_s=round(now_s - run.started_s, 3),
+            repeated=repeated,
         )
         if reason == "fence":
             state.superseded = f"worker {worker.id} has seen a higher fence"
-        elif reason == "old" and run.task:
-            job = run.task.job
-            job.highest_run = max(job.highest_run, run.number + RUN_NUMBER_GAP)
         elif reason == "other_life":
             worker.terminated = True
         elif reason == "unhealthy":
             worker.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
             worker.consecutive_failures += 1
-        elif reason == "bad" and run.task:
-            task = run.task
-            self.drop_run(run)
-            task.job.record_end(task, run.number, END_FAILED, "")
+        elif reason not in ("old", "bad"):
+            worker.blocked_until_s = now_s + REFUSED_PAUSE_S
+        if run.key not in worker.runs:
             return
+        if reason == "old":
+            self.await_end(run, response.clock_ms)
+        elif run.confirmed_ms:
+            # The worker has it from an earlier sending; reports tell more.
+            return
+        elif repeated and reason not in ("fence", "other_life"):
+            self.stop(run, "start was refused after one without an answer")
         else:
-            worker.blocked_until_s = now_s + REFUSED_PAUSE_S
-        self.drop_run(run)
+            self.drop_run(run)
+            if reason == "bad" and run.task:
+                run.task.job.record_end(run.task, run.number, END_FAILED, "")
+
+    def await_end(self, run: Run, clock_ms: int) -> None:
+        """Keep a run that the worker has refused as too old.
+
+        It is not running and never will be, but it may have ended, also if
+        it was sent once: the HTTP client may repeat a request. A later
+        report lists its end or proves that there was none.
+
+        :param clock_ms: the worker's clock at the refusal.
+        """
+        if run.task:
+            job = run.task.job
+            job.highest_run = max(job.highest_run, run.number + RUN_NUMBER_GAP)
+        run.phase = STOPPING
+        run.tries = -1
+        run.confirmed_ms = max(run.confirmed_ms, clock_ms, 1)
+        run.worker.request_immediate_poll(self.state.clock())
+        self.stop_gang(run)
 
     def drop_run(self, run: Run) -> None:
         """Drop a run that was not started and never will be."""
@@ -200,8 +283,12 @@
                     self.stop(member, "a member of its gang is missing")
 
     def stop(self, run: Run, why: str) -> None:
-        """Stop a run; it is kept until its end is certain."""
-        if run.phase == STOPPING:
+        """Stop a run; it is kept until its end is certain.
+
+        After the term its successor decides, also about runs on workers that
+        have not seen the successor's fence yet.
+        """
+        if run.phase == STOPPING or self.state.superseded:
             return
         run.phase = STOPPING
         run.tries = 0
@@ -232,12 +319,14 @@
         run.in_flight = False
         worker = run.worker
         worker.orders_in_flight -= 1
+        now_s = self.state.clock()
         error = done.exception()
         if error:
-            worker.request_immediate_poll(self.state.clock())
+            run.unanswered_s = now_s
+            worker.request_immediate_poll(now_s)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, self.state.clock())
+        worker.record_clock(response.clock_ms, now_s)
         if response.accepted:
             # A later report lists the run, unless it has ended.
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms, 1)
@@ -249,6 +338,9 @@
             )
         elif response.reason == "other_life":
             worker.terminated = True
+        else:
+            # The worker has done nothing; it may take the stop later.
+            run.unanswered_s = now_s + REFUSED_PAUSE_S
 
     def throttle(self, run: Run, percent: int) -> None:
         """Throttle a run to a percentage of its full speed."""
@@ -266,16 +358,31 @@
 
         call.add_done_callback(handle_response)
 
+    def may_repeat(self, run: Run) -> bool:
+        """Return whether the start of a run may still be sent again."""
+        record, task = run.worker.record, run.task
+        return bool(
+            task
+            and self.state.may_start()
+            and run.worker.in_registry
+            and record.pool == task.job.queue.pool
+            and not record.leaving
+            and not run.worker.cordon_reason
+        )
+
     def resend_unanswered(self, now_s: float) -> None:
         """Repeat orders without a response; stop runs left unconfirmed."""
         for worker in self.state.workers.values():
             if worker.terminated:
                 continue
             for run in list(worker.runs.values()):
-                if run.in_flight:
+                if run.in_flight or run.phase not in (UNCONFIRMED, STOPPING):
                     continue
-                if run.phase == UNCONFIRMED:
-                    if run.tries < 2 and self.state.may_start():
+                if worker.fence_confirmed_s <= run.unanswered_s:
+                    if now_s >= run.unanswered_s:
+                        worker.request_immediate_poll(now_s)
+                elif run.phase == UNCONFIRMED:
+                    if run.tries < 2 and self.may_repeat(run):
                         self.send_start(run)
                     else:
                         self.stop(run, "start had no answer")
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -13,7 +13,7 @@
 from cyclamenscale.jobs.advice import Tickets
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.orders import WorkerOrders
-from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.state import SUPERSEDED_NOTICE_S, State
 from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.worker import Worker
 
@@ -25,10 +25,6 @@
 #: probation.
 MAX_CONSECUTIVE_FAILURES = 3
 
-#: Time within which a superseded leader learns so from a worker; it polls
-#: each worker about twice a second.
-SUPERSEDED_NOTICE_S = 1.5
-
 #: Maximum number of workers of a pool that are reserved for waiting
 #: long-running tasks, one for each task.
 MAX_RESERVATIONS = 4
@@ -102,8 +98,8 @@
     """A worker that tasks may be placed on in this pass.
 
     :ivar worker: the worker.
-    :ivar on_probation: whether only one task at a time may run on it, to
-        test a worker that is slow or whose runs have failed.
+    :ivar on_probation: whether only one short task at a time may run on it,
+        to test a worker that is slow or whose runs have failed.
     """
 
     worker: Worker
@@ -127,6 +123,7 @@
         #: By pool, processors that waiting tasks need after the last pass;
         #: decides on moves of machines.
         self.backlog: Counter[str] = Counter()
+        self.passes = 0
 
     def run(self) -> None:
         """Place the waiting tasks that can start now."""
@@ -139,7 +136,7 @@
                 pools.setdefault(job.queue.pool, []).append(job)
         self.backlog.clear()
         may_start, confirmed = state.may_start(), state.lease_confirmed()
-        for pool, jobs in pools.items():
+        for pool, jobs in self.rotate(pools):
             candidates = self.candidates(pool, now_s)
             jobs.sort(key=lambda job: self.order(job, now_s))
             reserved: set[str] = set()
@@ -152,6 +149,20 @@
                     need = step.spec.need.processors
                     self.backlog[pool] += need * len(step.waiting)
 
+    def rotate(
+        self, pools: dict[str, list[Job]]
+    ) -> list[tuple[str, list[Job]]]:
+        """Return the pools, beginning with another one in each pass.
+
+        Otherwise the first pool would use all starts that may be in flight.
+        Passes in which none may start don't count.
+        """
+        if not self.orders.window.is_full:
+            self.passes += 1
+        ordered = sorted(pools.items())
+        first = self.passes % len(ordered) if ordered else 0
+        return ordered[first:] + ordered[:first]
+
     def candidates(self, pool: str, now_s: float) -> list[Candidate]:
         """Return the workers of a pool that tasks may be placed on."""
         return [
@@ -193,6 +204,8 @@
             self.place_gang(step, candidates, reserved)
             return
         for task in list(step.waiting):
+            if self.orders.window.is_full:
+                return
             worker = self.choose(task, candidates, reserved)
             if worker:
                 number = step.job.next_run_number()
@@ -234,7 +247,7 @@
         worker, spec = candidate.worker, step.spec
         if worker.orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
             return False
-        if candidate.on_probation and worker.runs:
+        if candidate.on_probation and has_short_run(worker):
             return False
         if spec.label and spec.label not in worker.record.labels:
             return False
@@ -321,6 +334,8 @@
         """Start all tasks of a gang with one run number, or none."""
         if len(step.waiting) < step.remaining or not step.remaining:
             return
+        if self.orders.window.is_full:
+            return
         racks = [candidates]
         if step.spec.same_rack:
             by_rack: dict[str, list[Candidate]] = {}
@@ -402,6 +417,8 @@
 
     def start_copy(self, task: Task, now_s: float) -> None:
         """Start a speculative copy of a task on another worker."""
+        if self.orders.window.is_full:
+            return
         worker = self.find_other_worker(task, now_s)
         if worker:
             number = task.job.next_run_number()
@@ -417,6 +434,14 @@
     )
 
 
+def has_short_run(worker: Worker) -> bool:
+    """Return whether a worker has a run that ends by itself."""
+    return any(
+        run.task is None or not run.task.step.spec.long_running
+        for run in worker.runs.values()
+    )
+
+
 def multiply(need, factor: int):
     """Multiply resources by a factor."""
     return type(need)(*(part * factor for part in need))
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -1,5 +1,6 @@
 """The state of one term, shared by the components of a coordinator."""
 
+from statistics import median_low
 from typing import NamedTuple, Protocol
 
 from cyclamenscale.jobs.job import Job
@@ -18,6 +19,16 @@
 #: alive; workers write about every 1.5 s.
 REGISTRATION_ALIVE_S = 4.0
 
+#: Time within which a superseded leader stops: polls that were sent earlier
+#: are no evidence that it still leads. It polls each worker about twice a
+#: second.
+SUPERSEDED_NOTICE_S = 1.5
+
+#: Time after the expiry of a task lease for which the report of a worker that
+#: is alive but does not respond is awaited. Jobs of a few seconds are worth
+#: nothing after it.
+REPORT_WAIT_S = 10.0
+
 
 class LeaseCheck(Protocol):
     """Checks whether this entry holds the leader lease."""
@@ -86,6 +97,9 @@
         #: Evidence of a later leader (a higher fencing token or a changed
         #: leader key), empty if there is none.
         self.superseded = ""
+        #: When the leader lease was last unconfirmed. Until then workers may
+        #: have been unable to write to the registry.
+        self.unconfirmed_s = -1e9
 
     def queue_of(self, stored: Queue, version: int) -> Queue:
         """Return the queue settings that apply to a job.
@@ -101,12 +115,34 @@
         """Return whether tasks may be started.
 
         While the store is unavailable the lease can't be confirmed, but no
-        other entry can take over either. A superseded leader learns of its
-        successor from the higher fencing token of the first worker that the
-        successor has polled, and the successor waits for workers that it
-        has not polled.
+        other entry can take over either. If the store serves other entries,
+        a successor polls the workers, which refuse this term from then on,
+        and it waits for those that it has not polled.
+        """
+        grace_s = self.settings.jobs.grace_s
+        return self.lease_confirmed(grace_s) and self.is_current()
+
+    def is_current(self) -> bool:
+        """Return whether the lease or a majority of workers confirm the term.
+
+        Any majority includes a worker that a successor has polled, unless
+        it reaches only a minority. Polls count from when they were sent,
+        since a response may be read long after it was given, for example
+        after a pause of this process.
         """
-        return self.lease_confirmed(self.settings.jobs.grace_s)
+        if self.superseded:
+            return False
+        if self.lease_confirmed():
+            return True
+        confirmed_s = [
+            worker.fence_confirmed_s
+            for worker in self.workers.values()
+            if not worker.terminated
+        ]
+        if not confirmed_s:
+            return False
+        # A majority has confirmed the term at the low median or later.
+        return self.clock() < median_low(confirmed_s) + SUPERSEDED_NOTICE_S
 
     def mark_changed(self) -> None:
         """Record that a placement may have become possible."""
@@ -124,17 +160,25 @@
         longest_s = self.task_lease_s / MIN_CLOCK_RATE
         return self.term.began_s + longest_s + LEASE_EXPIRY_MARGIN_S
 
+    def is_alive(self, worker: Worker) -> bool:
+        """Return whether a worker has recently written to the registry.
+
+        Time in which the store may have been unavailable does not count.
+        """
+        since_s = max(worker.registered_s, self.unconfirmed_s)
+        silent_s = self.clock() - since_s
+        return not worker.terminated and silent_s < REGISTRATION_ALIVE_S
+
     def unreached_live_workers(self, pool: str) -> bool:
         """Return whether a live worker of a pool has not been polled yet.
 
-        The previous leader may still reach it and start tasks on it.
+        The previous leader may still reach it and start tasks on it, and it
+        may have done tasks whose ends nobody has read.
         """
-        now_s = self.clock()
         return any(
             worker.record.pool == pool
             and worker.fence != self.term.fence
-            and not worker.terminated
-            and now_s - worker.registered_s < REGISTRATION_ALIVE_S
+            and self.is_alive(worker)
             for worker in self.workers.values()
         )
 
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -2,7 +2,9 @@
 
 A run is dropped only once it has certainly ended: the worker listed its
 end, the worker responds as a later incarnation, or the task lease has
-expired on the worker's own clock. Pure: times are passed in.
+expired on the worker's own clock. An expired lease does not tell whether the
+run was done before, which only the worker's report does. Pure: times are
+passed in.
 """
 
 from cyclamenscale.fleet.ports import Resources
@@ -46,11 +48,14 @@
         report.
     :ivar throttle_percent: percent of full speed it was throttled to, -1 if
         unknown.
+    :ivar ticket: placement ticket that its start carries, or empty.
     :ivar tries: starts or stops sent without a response, -1 once a stop was
         accepted.
     :ivar inherited: whether another term started it, so that its start time
         is unknown.
     :ivar in_flight: whether an order for it has no response yet.
+    :ivar unanswered_s: a poll sent after this time tells what became of its
+        latest order; 0 if that had a response.
     """
 
     __slots__ = (
@@ -69,7 +74,9 @@
         "started_s",
         "task",
         "throttle_percent",
+        "ticket",
         "tries",
+        "unanswered_s",
         "usage",
         "worker",
     )
@@ -99,9 +106,11 @@
         self.baseline_s = 0.0
         self.usage = 0.0
         self.throttle_percent = 100
+        self.ticket = ""
         self.tries = 0
         self.inherited = False
         self.in_flight = False
+        self.unanswered_s = 0.0
 
     @property
     def serving(self) -> bool:
@@ -109,6 +118,15 @@
         working = self.phase == RUNNING and self.percent >= 100
         return working and not self.worker.termination_pending
 
+    @property
+    def may_be_done(self) -> bool:
+        """Return whether starting its task again may repeat finished work."""
+        task = self.task
+        if not task or task.done or task.job.ended:
+            return False
+        spec = task.step.spec
+        return not spec.long_running and not spec.allows_copies
+
     @property
     def key(self) -> tuple[str, int]:
         """Return the key of the run on its worker."""
@@ -130,11 +148,16 @@
 
     :ivar record: its latest registration.
     :ivar fence: fencing token that it has confirmed, 0 before that.
+    :ivar fence_confirmed_s: when the latest poll that confirmed it was sent.
     :ivar clock_ms: its clock in the response that gives the best lower bound.
     :ivar clock_received_s: when that response arrived.
     :ivar lease_deadline_ms: latest end of the lease of its runs that it may
         have been given, on its own clock.
+    :ivar lease_extended_s: when an order or poll that extends that lease was
+        last sent.
     :ivar last_response_s: when it last responded to a poll with a report.
+    :ivar report_awaited: whether runs whose lease has expired are kept until
+        it reports how they ended.
     :ivar failed_polls: polls without a report since then.
     :ivar poll_due_s: when the next long poll is due.
     :ivar immediate_poll_due_s: when an immediate poll is due because an
@@ -163,11 +186,14 @@
         """Initialise with no runs and no responses."""
         self.record = record
         self.fence = 0
+        self.fence_confirmed_s = -1e9
         self.clock_ms = 0
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
+        self.lease_extended_s = 0.0
         self.first_seen_s = now_s
         self.last_response_s = -1e9
+        self.report_awaited = False
         self.failed_polls = 0
         self.poll_in_flight = False
         self.poll_due_s = now_s
@@ -241,6 +267,15 @@
             run.task.runs.remove(run)
         self.update_allocated()
 
+    def hand_over_runs(self, successor: "Worker") -> list[Run]:
+        """Move the remaining runs to the next incarnation."""
+        runs, self.runs = list(self.runs.values()), {}
+        for run in runs:
+            run.worker = successor
+            successor.runs[run.key] = run
+        successor.update_allocated()
+        return runs
+
     def update_allocated(self) -> None:
         """Sum the needs of the runs; best-effort runs need no processors."""
         processors = memory = 0.0
--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -29,27 +29,68 @@
 
 TCP_USER_TIMEOUT = 18
 
+#: Header lines of all requests; a name alone removes libcurl's own header.
+COMMON_HEADERS = (
+    "Content-Type: application/json",
+    "Expect:",
+    "Accept:",
+    "User-Agent:",
+)
+
 
 class HttpResponse(NamedTuple):
     """An HTTP response.
 
     :ivar status: status code.
     :ivar body: complete body.
+    :ivar resent: whether libcurl repeated the request, as a reused
+        connection broke; the server may have read both copies.
     """
 
     status: int
     body: bytes
+    resent: bool = False
+
 
+class HttpLoad(NamedTuple):
+    """Calls of a client since the last reading.
+
+    :ivar calls: calls made.
+    :ivar pending: calls in progress now.
+    :ivar unanswered: calls that ended without a response.
+    :ivar connections: connections opened.
+    :ivar sent_bytes: bytes of the requests of the calls that ended.
+    :ivar received_bytes: bytes of the responses to them, without headers.
+    """
 
-class PendingCall(NamedTuple):
+    calls: int = 0
+    pending: int = 0
+    unanswered: int = 0
+    connections: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class PendingCall:
     """A call in progress.
 
     :ivar outcome: future of the response.
     :ivar body: part of the response body received so far.
+    :ivar attempts: how often libcurl has begun to send the request.
     """
 
-    outcome: Future
-    body: BytesIO
+    __slots__ = ("attempts", "body", "outcome")
+
+    def __init__(self):
+        """Initialise with nothing sent."""
+        self.outcome: Future = Future()
+        self.body = BytesIO()
+        self.attempts = 0
+
+    def count_attempt(self, *addresses) -> int:
+        """Count an attempt (libcurl's callback before each one)."""
+        self.attempts += 1
+        return pycurl.PREREQFUNC_OK
 
 
 def open_socket(purpose: int, address: tuple) -> socket.socket:
@@ -76,6 +117,7 @@
         self.pending: dict[pycurl.Curl, PendingCall] = {}
         self.idle: list[pycurl.Curl] = []
         self.calls = 0
+        self.load = HttpLoad()
         multi = pycurl.CurlMulti()
         multi.setopt(pycurl.M_SOCKETFUNCTION, self.update_socket)
         multi.setopt(pycurl.M_TIMERFUNCTION, self.set_timer)
@@ -105,10 +147,16 @@
             request, and with :class:`CallUnansweredError` if it may have.
         """
         curl = self.idle.pop() if self.idle else new_handle()
-        received = BytesIO()
-        curl.setopt(pycurl.URL, url)
+        pending = PendingCall()
+        try:
+            curl.setopt(pycurl.URL, url)
+            curl.setopt(pycurl.HTTPHEADER, [*COMMON_HEADERS, *headers])
+        except (pycurl.error, UnicodeError) as error:
+            pending.outcome.set_exception(CallNotSentError(str(error)))
+            return pending.outcome
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-        curl.setopt(pycurl.WRITEDATA, received)
+        curl.setopt(pycurl.WRITEDATA, pending.body)
+        curl.setopt(pycurl.PREREQFUNCTION, pending.count_attempt)
         curl.setopt(pycurl.FRESH_CONNECT, 1 if fresh else 0)
         if method == "GET":
             curl.setopt(pycurl.HTTPGET, 1)
@@ -117,15 +165,11 @@
             curl.setopt(pycurl.POSTFIELDS, body or b"")
         if method not in ("GET", "POST"):
             curl.setopt(pycurl.CUSTOMREQUEST, method)
-        curl.setopt(
-            pycurl.HTTPHEADER,
-            ["Content-Type: application/json", "Expect:", *headers],
-        )
-        outcome: Future = Future()
-        self.pending[curl] = PendingCall(outcome, received)
+        self.pending[curl] = pending
         self.calls += 1
+        self.load = self.load._replace(calls=self.load.calls + 1)
         self.multi.add_handle(curl)
-        return outcome
+        return pending.outcome
 
     def update_socket(self, action: int, fd: int, multi, data) -> None:
         """Watch or unwatch a socket (libcurl's socket callback)."""
@@ -183,18 +227,24 @@
             for curl in ended:
                 status = curl.getinfo(pycurl.RESPONSE_CODE)
                 pending = self.release(curl)
-                response = HttpResponse(status, pending.body.getvalue())
+                response = HttpResponse(
+                    status, pending.body.getvalue(), pending.attempts > 1
+                )
                 pending.outcome.set_result(response)
             for curl, code, text in failed:
-                sent = code != pycurl.E_COULDNT_CONNECT and (
-                    curl.getinfo(pycurl.REQUEST_SIZE) > 0
+                self.load = self.load._replace(
+                    unanswered=self.load.unanswered + 1
                 )
+                # Counts all attempts of libcurl, which repeats a request if
+                # a reused connection breaks before the response.
+                sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
                 pending = self.release(curl)
                 error_type = CallUnansweredError if sent else CallNotSentError
                 pending.outcome.set_exception(error_type(text or str(code)))
 
     def release(self, curl: pycurl.Curl) -> PendingCall:
         """Remove a handle from the multi handle and keep it for reuse."""
+        self.record_traffic(curl)
         self.multi.remove_handle(curl)
         pending = self.pending.pop(curl)
         if len(self.idle) < MAX_IDLE_HANDLES:
@@ -202,6 +252,24 @@
             self.idle.append(curl)
         return pending
 
+    def record_traffic(self, curl: pycurl.Curl) -> None:
+        """Add the traffic of a call that has ended to the load."""
+        load = self.load
+        # Headers and bodies of all attempts.
+        sent_bytes = curl.getinfo(pycurl.REQUEST_SIZE)
+        received_bytes = curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
+        self.load = load._replace(
+            connections=load.connections + curl.getinfo(pycurl.NUM_CONNECTS),
+            sent_bytes=load.sent_bytes + sent_bytes,
+            received_bytes=load.received_bytes + received_bytes,
+        )
+
+    def take_load(self) -> HttpLoad:
+        """Return the load since the last call."""
+        load = self.load._replace(pending=len(self.pending))
+        self.load = HttpLoad()
+        return load
+
 
 def new_handle() -> pycurl.Curl:
     """Create a handle with the options common to all calls."""
--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -1,5 +1,6 @@
 """Tests of the election of a leader among entries, on a virtual clock."""
 
+from concurrent.futures import Future
 from random import Random
 
 import pytest
@@ -120,9 +121,7 @@
     def start(self):
         """Publish the records and begin periodic work."""
         self.running = True
-        self.job_index.replace(
-            self.group.delivered_items(), 0, self.loop.clock()
-        )
+        self.read_store()
         self.election.handle_first_read()
         self.election.eligible = True
         self.presence.start()
@@ -131,12 +130,15 @@
     def run(self):
         """Apply what the watch delivers, then do periodic work."""
         if self.running:
-            self.job_index.replace(
-                self.group.delivered_items(), 0, self.loop.clock()
-            )
+            self.read_store()
             self.election.run()
             self.loop.call_later(PERIOD_S, self.run)
 
+    def read_store(self):
+        """Apply what the watch has delivered."""
+        items, revision = self.group.delivered()
+        self.job_index.replace(items, revision, self.loop.clock())
+
     def crash(self):
         """Stop without withdrawing the records."""
         self.running = False
@@ -175,13 +177,13 @@
             self.members[name] = Member(self, name, **size)
         return [self.members[f"{prefix}-{n}"] for n in range(count)]
 
-    def delivered_items(self):
-        """Return the contents of the store before the delay of watches."""
+    def delivered(self):
+        """Return the store's contents and revision as watches deliver them."""
         before_s = self.loop.clock() - WATCH_DELAY_S
-        found = []
-        for time_s, items in self.history:
+        found = [], 0
+        for time_s, items, revision in self.history:
             if time_s <= before_s:
-                found = items
+                found = items, revision
         return found
 
     def wait(self, for_s, until=lambda: False):
@@ -190,7 +192,8 @@
         while self.loop.clock() < began_s + for_s and not until():
             self.loop.advance(0.05)
             items = list(self.store.items.values())
-            self.history.append((self.loop.clock(), items))
+            state = (self.loop.clock(), items, self.store.revision)
+            self.history.append(state)
             del self.history[:-10]
         return self.loop.clock() - began_s
 
@@ -224,7 +227,7 @@
     def end_leader(self):
         """Let the leader crash and its lease expire."""
         self.leader.crash()
-        del self.store.items[LEADER]
+        self.store.revoke_lease(self.store.items[LEADER].lease)
 
 
 def unequal_group(seed, small_count=31, large_count=6):
@@ -274,7 +277,7 @@
     group.settle()
     for member in group.members.values():
         member.crash()
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     group.wait(1.0)
     restarted_large = group.add("large", len(large), **LARGE)
     for member in group.add("small", len(small), **SMALL) + restarted_large:
@@ -339,7 +342,7 @@
     group.settle()
     for member in large:
         member.store.mode = "down"
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
     assert group.leader not in large
 
@@ -350,7 +353,7 @@
     group.settle()
     for member in large:
         member.store.mode = "down"
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     group.wait_for_leader()
     assert group.leader not in large
     return group, large
@@ -422,7 +425,7 @@
     smallest, *others = group.members.values()
     for member in others:
         member.crash()
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     assert group.wait_for_leader() <= ATTEMPT_S + LEASE_TTL_S / 2
     assert group.leader is smallest
 
@@ -488,7 +491,7 @@
     group.store.put(f"{ENTRY}old", b'["10.0.0.2:7000","dc-1"]')
     group.wait(1.0)
     assert set(member.job_index.entries) == {"old", "new-0"}
-    del group.store.items[LEADER]
+    group.store.revoke_lease(group.store.items[LEADER].lease)
     member.election.resign("test")
     assert group.wait_for_leader() <= 2 * ATTEMPT_S
 
@@ -506,3 +509,49 @@
         assert item.key.startswith(PREFIX)
         index.apply(item._replace(value=b"", create_revision=0), 2.0)
     assert index.capacities == index.entries == {}
+
+
+def test_hand_overs_to_an_entry_that_keeps_losing_its_lease_become_rarer():
+    """Guards against a takeover every few seconds.
+
+    The store serves the large entry's reads and writes, but its leader
+    leases are lost, for instance on a link that is impaired.
+    """
+    group, large = small_leader_group(3)
+    group.wait(5.0)
+    for member in large:
+        member.store.mode = "up"
+        member.store.renew_lease = lambda lease: settled(False)
+    fences = set()
+    for _ in range(int(12 * REQUEST_DELAY_S / 0.5)):
+        group.wait(0.5)
+        if LEADER in group.store.items:
+            fences.add(group.fence)
+    assert len(fences) <= 12
+
+
+def test_an_entry_that_lost_its_lease_lets_the_others_go_first():
+    """Guards against one entry with a bad link that wins every vacancy."""
+    group, large, _ = unequal_group(2)
+    group.settle()
+    impaired = group.leader
+    impaired.store.renew_lease = lambda lease: settled(False)
+    group.wait(3.0)
+    assert group.leader is not impaired
+    assert group.leader in large
+    fence = group.fence
+    group.wait(30.0)
+    assert group.fence == fence
+
+
+def test_a_late_read_does_not_end_a_new_term():
+    """Guards against a leader that believes an answer from before its win."""
+    group = Group()
+    (member,) = group.add("e", 1)
+    answer: Future = Future()
+    election = member.election
+    answer.add_done_callback(election.handle_reread)
+    group.settle()
+    assert election.term
+    answer.set_result(None)
+    assert member.job_index.leader
