Ask a small leader in time after following an equal one

Callers would see the service of a small leader for hours: the delay before a request to lead doubled at each check, also while the leader was an equal and no request was made.

--- a/cyclamenscale/jobs/election.py
+++ b/cyclamenscale/jobs/election.py
@@ -149,13 +149,15 @@
             self.followed_fence = leader.fence
             self.next_request_s = now_s + self.request_delay_s
         elif now_s >= self.next_request_s:
-            # Rarer each time, in case this entry can't keep the lease.
-            self.request_delay_s *= 2
-            self.next_request_s = now_s + self.request_delay_s
             tiers = rank_tiers(self.known_capacities())
             if tiers[self.name] < tiers.get(leader.node, 0):
+                # Rarer each time, in case this entry can't keep the lease.
+                self.request_delay_s *= 2
                 self.events.note("leader.requested", leader=leader.node)
                 self.request_lead()
+            else:
+                self.request_delay_s = REQUEST_DELAY_S
+            self.next_request_s = now_s + self.request_delay_s
 
     def hand_over(self) -> None:
         """End the term if an entry with more capacity asks to lead."""
--- a/test/jobs/test_election.py
+++ b/test/jobs/test_election.py
@@ -555,3 +555,24 @@
     assert election.term
     answer.set_result(None)
     assert member.job_index.leader
+
+
+def test_an_entry_asks_in_time_after_it_followed_an_equal_for_long():
+    """Guards against a small leader that stays after a long quiet time.
+
+    The large entries follow one of themselves for minutes, then the store
+    refuses all of them for a while.
+    """
+    group, large, _ = unequal_group(3, 4, 3)
+    group.settle()
+    group.wait(15 * REQUEST_DELAY_S)
+    assert group.leader in large
+    for member in large:
+        member.store.mode = "down"
+    group.store.revoke_lease(group.store.items[LEADER].lease)
+    group.wait_for_leader()
+    assert group.leader not in large
+    for member in large:
+        member.store.mode = "up"
+    group.wait(REQUEST_DELAY_S + 2.0)
+    assert group.leader in large
