--- a/test/jobs/test_flow_control.py
+++ b/test/jobs/test_flow_control.py
@@ -88,32 +88,48 @@
     assert not window.is_full
 
 
+class FullWindow:
+    """Two pools with more tasks than a window of two starts takes.
+
+    :ivar started: starts by pool.
+    """
+
+    def __init__(self):
+        """Accept jobs; starts are answered by :meth:`answer`."""
+        self.world = World(workers=2, pools=("pool-a", "pool-b"))
+        self.coordinator = self.world.lead()
+        self.world.run()
+        self.coordinator.orders.window.size = 2
+        self.started: Counter[str] = Counter()
+        self.unanswered: list[Future] = []
+        self.world.workers.start = self.start
+        step = Step(4, Resources(2.0, 4.0))
+        for number in range(12):
+            for pool in ("pool-a", "pool-b"):
+                queue = QUEUE._replace(name=pool, pool=pool)
+                self.world.submit(f"{pool}-j{number}", step, queue=queue)
+
+    def start(self, worker, order):
+        """Count a start."""
+        self.started[worker.pool] += 1
+        self.unanswered.append(Future())
+        return self.unanswered[-1]
+
+    def answer(self):
+        """Accept all starts in flight."""
+        while self.unanswered:
+            response = OrderResponse(True, "", 1)
+            self.unanswered.pop().set_result(response)
+
+
 def test_a_full_window_is_shared_by_the_pools():
     """Guards against one pool that uses all starts in flight."""
-    world = World(workers=2, pools=("pool-a", "pool-b"))
-    coordinator = world.lead()
-    world.run()
-    coordinator.orders.window.size = 2
-    started: Counter[str] = Counter()
-    unanswered: list[Future] = []
-
-    def start(worker, order):
-        started[worker.pool] += 1
-        unanswered.append(Future())
-        return unanswered[-1]
-
-    world.workers.start = start
-    for number in range(4):
-        for pool in ("pool-a", "pool-b"):
-            queue = QUEUE._replace(name=pool, pool=pool)
-            step = Step(4, Resources(2.0, 4.0))
-            world.submit(f"{pool}-j{number}", step, queue=queue)
+    full = FullWindow()
     for _ in range(8):
-        world.run(0.05)
-        while unanswered:
-            unanswered.pop().set_result(OrderResponse(True, "", 1))
-    assert sum(started.values()) == 16
-    assert started["pool-a"] == started["pool-b"]
+        full.world.run(0.05)
+        full.answer()
+    assert sum(full.started.values()) == 16
+    assert full.started["pool-a"] == full.started["pool-b"]
 
 
 def test_passes_with_a_full_window_do_not_pass_over_a_pool():
@@ -121,28 +137,10 @@
 
     Events cause a second pass between the responses to the starts.
     """
-    world = World(workers=2, pools=("pool-a", "pool-b"))
-    coordinator = world.lead()
-    world.run()
-    coordinator.orders.window.size = 2
-    started: Counter = Counter()
-    unanswered: list[Future] = []
-
-    def start(worker, order):
-        started[worker.pool] += 1
-        unanswered.append(Future())
-        return unanswered[-1]
-
-    world.workers.start = start
-    for number in range(12):
-        for pool in ("pool-a", "pool-b"):
-            queue = QUEUE._replace(name=pool, pool=pool)
-            step = Step(4, Resources(2.0, 4.0))
-            world.submit(f"{pool}-j{number}", step, queue=queue)
+    full = FullWindow()
     for _ in range(16):
-        world.run(0.05)
-        coordinator.state.mark_changed()
-        coordinator.run_once()
-        while unanswered:
-            unanswered.pop().set_result(OrderResponse(True, "", 1))
-    assert started["pool-a"] and started["pool-b"]
+        full.world.run(0.05)
+        full.coordinator.state.mark_changed()
+        full.coordinator.run_once()
+        full.answer()
+    assert full.started["pool-a"] and full.started["pool-b"]
