--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -187,7 +187,7 @@
                 silent_s=round(now_s - worker.last_response_s, 2),
             )
         worker.failed_polls = 0
-        worker.report_awaited = False
+        worker.expiry_logged = False
         worker.last_response_s = now_s
         first = worker.fence != state.term.fence
         worker.fence = state.term.fence
@@ -491,7 +491,7 @@
     def drop_ended_runs(self, worker: Worker, now_s: float) -> None:
         """Drop the runs that ended with a worker's lease or incarnation."""
         ended = self.ended_runs(worker, now_s)
-        if ended or not worker.report_awaited:
+        if ended or not worker.expiry_logged:
             self.state.events.note(
                 "worker.lapsed",
                 worker=worker.id,
@@ -504,7 +504,7 @@
                 clock_ms=worker.clock_ms,
                 clock_age_s=round(now_s - worker.clock_received_s, 2),
             )
-        worker.report_awaited = True
+        worker.expiry_logged = True
         for run in ended:
             self.record_end(run, END_EXPIRED, "")
 
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -156,8 +156,8 @@
     :ivar lease_extended_s: when an order or poll that extends that lease was
         last sent.
     :ivar last_response_s: when it last responded to a poll with a report.
-    :ivar report_awaited: whether runs whose lease has expired are kept until
-        it reports how they ended.
+    :ivar expiry_logged: whether the expiry of its runs' lease was logged
+        since its last report.
     :ivar failed_polls: polls without a report since then.
     :ivar poll_due_s: when the next long poll is due.
     :ivar immediate_poll_due_s: when an immediate poll is due because an
@@ -193,7 +193,7 @@
         self.lease_extended_s = 0.0
         self.first_seen_s = now_s
         self.last_response_s = -1e9
-        self.report_awaited = False
+        self.expiry_logged = False
         self.failed_polls = 0
         self.poll_in_flight = False
         self.poll_due_s = now_s
