--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,11 +1,11 @@
-"""One unreadable entry in the registry hides all executors from a leader.
+"""One lasting submission that can't be done keeps a whole pool idle.
 
-Another writer has put an entry below `servers/` whose bytes can't be read.
-All executors, links and processes are sound.
+A client hands in tasks that last and require a label that no executor of the
+pool has. Ordinary jobs, which any executor may run, come after it. Executors,
+links and processes are sound.
 """
 
 import asyncio
-import base64
 from pathlib import Path
 from random import Random
 
@@ -20,8 +20,24 @@
 from review.lib.http import request
 from review.lib.platform import Cloud, Store
 
-#: Bytes that can't be read: lists that begin and never end.
-UNREADABLE = b"[" * 2000
+#: Executors of the pool; all have the labels `a` and their rack.
+EXECUTORS = 4
+
+#: The submission that can't be done, one of 21: as many tasks that last as
+#: those of the sheets have.
+HOPELESS = {
+    "spec": "text",
+    "steps": [
+        {
+            "count": 5,
+            "cpu": 500,
+            "mem-mb": 64,
+            "estimate-ms": 700,
+            "long-running": True,
+            "required-label": "b",
+        }
+    ],
+}
 
 JOBS = 20
 JOB_INTERVAL_S = 0.5
@@ -64,14 +80,10 @@
     await store.start()
     executors = [
         Executor(n, store, "lovo22d", record, lambda task: (WORK_S, 500, "done"))
-        for n in range(6)
+        for n in range(EXECUTORS)
     ]
     for executor in executors:
         await executor.start()
-    if trouble():
-        value = base64.b64encode(UNREADABLE).decode()
-        await store.commit([{"key": "servers/i-", "value": value}], [])
-        record.note("unreadable entry", "servers/i-", len(UNREADABLE), "bytes")
     cloud = Cloud(executors)
     await cloud.server.start()
     await store.write("op/config", MANIFEST)
@@ -95,6 +107,12 @@
         "spec": "text",
         "steps": [{"count": 2, "cpu": 500, "mem-mb": 64, "estimate-ms": 300}],
     }
+    if trouble():
+        job = f"{rng.getrandbits(64):016x}"
+        status, _ = await request(
+            entries[0].callers, "POST", f"/kafi706/{job}", HOPELESS, HEADERS
+        )
+        record.note("submit hopeless", job, entries[0].name, status)
     for _ in range(JOBS):
         job = f"{rng.getrandbits(64):016x}"
         entry = rng.choice(entries)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,11 @@
-"""Submissions that can never be done keep all leaders from their work.
+"""One unreadable entry in the registry hides all executors from a leader.
 
-A few clients hand in gangs that need more than the whole pool. Executors,
-links and processes are sound.
+Another writer has put an entry below `servers/` whose bytes can't be read.
+All executors, links and processes are sound.
 """
 
 import asyncio
+import base64
 from pathlib import Path
 from random import Random
 
@@ -19,14 +20,10 @@
 from review.lib.http import request
 from review.lib.platform import Cloud, Store
 
-#: Gangs that need 5,000 processors of a pool of 3,968: one in twenty jobs.
-HOPELESS = 3
-HOPELESS_TASKS = 10000
-HOPELESS_CPU = 500
+#: Bytes that can't be read: lists that begin and never end.
+UNREADABLE = b"[" * 2000
 
-EXECUTORS = 62
-
-JOBS = 60
+JOBS = 20
 JOB_INTERVAL_S = 0.5
 WORK_S = 0.3
 
@@ -67,10 +64,14 @@
     await store.start()
     executors = [
         Executor(n, store, "lovo22d", record, lambda task: (WORK_S, 500, "done"))
-        for n in range(EXECUTORS)
+        for n in range(6)
     ]
     for executor in executors:
         await executor.start()
+    if trouble():
+        value = base64.b64encode(UNREADABLE).decode()
+        await store.commit([{"key": "servers/i-", "value": value}], [])
+        record.note("unreadable entry", "servers/i-", len(UNREADABLE), "bytes")
     cloud = Cloud(executors)
     await cloud.server.start()
     await store.write("op/config", MANIFEST)
@@ -94,43 +95,16 @@
         "spec": "text",
         "steps": [{"count": 2, "cpu": 500, "mem-mb": 64, "estimate-ms": 300}],
     }
-    hopeless = {
-        "spec": "text",
-        "steps": [
-            {
-                "count": HOPELESS_TASKS,
-                "cpu": HOPELESS_CPU,
-                "mem-mb": 64,
-                "estimate-ms": 300,
-                "gang": True,
-            }
-        ],
-    }
-    plan = [(True, 0.0)] * HOPELESS if trouble() else []
-    plan += [(False, JOB_INTERVAL_S)] * JOBS
-
-    async def submit(job, entry, is_hopeless):
+    for _ in range(JOBS):
+        job = f"{rng.getrandbits(64):016x}"
+        entry = rng.choice(entries)
         status, _ = await request(
-            entry.callers,
-            "POST",
-            f"/kafi706/{job}",
-            hopeless if is_hopeless else body,
-            HEADERS,
-        )
-        record.note(
-            "submitted", job, entry.name, status,
-            "hopeless" if is_hopeless else "",
+            entry.callers, "POST", f"/kafi706/{job}", body, HEADERS
         )
-        if status == 200 and not is_hopeless:
+        record.note("submit", job, entry.name, status)
+        if status == 200:
             accepted[job] = record.rows[-1][0]
-
-    tasks = []
-    for is_hopeless, pause_s in plan:
-        job = f"{rng.getrandbits(64):016x}"
-        entry = rng.choice(entries)
-        tasks.append(asyncio.create_task(submit(job, entry, is_hopeless)))
-        await asyncio.sleep(pause_s)
-    await asyncio.gather(*tasks)
+        await asyncio.sleep(JOB_INTERVAL_S)
     await asyncio.sleep(FINISH_S)
     end_s = record.rows[-1][0] + FINISH_S
     started = {
