--- a/review/3/case.py
+++ b/review/3/case.py
@@ -79,7 +79,9 @@
     store = Store()
     await store.start()
     executors = [
-        Executor(n, store, "lovo22d", record, lambda task: (WORK_S, 500, "done"))
+        Executor(
+            n, store, "lovo22d", record, lambda task: (WORK_S, 500, "done")
+        )
         for n in range(EXECUTORS)
     ]
     for executor in executors:
@@ -136,8 +138,14 @@
         record.note("state", job, status, table)
         idle_s = started.get(job, end_s) - at_s
         if idle_s > IDLE_S:
-            record.note("BROKEN-LOST", job, "nothing ran for", round(idle_s, 1),
-                        "s; begun:", job in started)
+            record.note(
+                "BROKEN-LOST",
+                job,
+                "nothing ran for",
+                round(idle_s, 1),
+                "s; begun:",
+                job in started,
+            )
     return not record.find("BROKEN-LOST")
 
 
--- a/review/lib/executors.py
+++ b/review/lib/executors.py
@@ -1,4 +1,4 @@
-"""Stand-ins of executors and of the advice service, as PROTOCOL.md has them."""
+"""Stand-ins of executors and of the advice service, per PROTOCOL.md."""
 
 import asyncio
 from itertools import count
