Use all workers beside a registration that can't be read

Cause: JSON that is nested too deeply ends in RecursionError, and an integer of over 308 digits in OverflowError where it is divided. The registry handled only FieldError for one registration, so that the pass over all of them ended there, and the watch read the prefix again every 0.5 s and met the same value.

Change: nesting and size of numbers are checked where data is decoded, for the store, callers, workers, machines and peers alike; the registry reads each registration alone and treats an unreadable one like one that is gone. Messages of errors describe a rejected value in a bounded text.

--- a/cyclamenscale/errors.py
+++ b/cyclamenscale/errors.py
@@ -7,6 +7,14 @@
 are internal.
 """
 
+from reprlib import Repr
+
+#: Describes rejected values in messages: other programs may send values that
+#: are large or too deeply nested for :func:`repr`.
+VALUE_REPR = Repr()
+VALUE_REPR.maxstring = VALUE_REPR.maxother = 200
+VALUE_REPR.maxlong = 60
+
 
 class CyclamenError(Exception):
     """Base of all exceptions of the project."""
@@ -36,7 +44,8 @@
 
     def __init__(self, field: str, found: object, allowed: str):
         """Store the parts as attributes and build the message from them."""
-        super().__init__(f"{field}: found {found!r}, allowed: {allowed}")
+        text = VALUE_REPR.repr(found)
+        super().__init__(f"{field}: found {text}, allowed: {allowed}")
         self.field = field
         self.found = found
         self.allowed = allowed
@@ -598,7 +607,8 @@
 
     def __init__(self, field: str, found: object, allowed: str):
         """Store the parts as attributes and build the message from them."""
-        super().__init__(f"{field}: found {found!r:.80}, allowed: {allowed}")
+        text = VALUE_REPR.repr(found)
+        super().__init__(f"{field}: found {text:.80}, allowed: {allowed}")
         self.field = field
         self.found = found
         self.allowed = allowed
--- a/cyclamenscale/jobs/registry.py
+++ b/cyclamenscale/jobs/registry.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from loguru import logger
+
 from cyclamenscale.errors import FieldError
 from cyclamenscale.jobs.coordinator import Coordinator
 from cyclamenscale.jobs.model import WorkerRecord
@@ -64,13 +66,28 @@
         """Apply changes of registrations."""
         for item in items:
             worker = item.key.removeprefix(self.prefix)
-            if not item.create_revision:
+            record = self.read_record(worker, item)
+            if record:
+                self.coordinator.register_worker(record)
+            else:
                 self.coordinator.unregister_worker(worker)
-                continue
-            try:
-                record = self.decode(worker, item.value)
-            except FieldError as error:
-                self.events.note("worker.unreadable", reason=str(error))
-                continue
-            self.coordinator.register_worker(record)
         self.on_change()
+
+    def read_record(self, worker: str, item: KeyValue) -> WorkerRecord | None:
+        """Return the registration of a worker, or None if there is none.
+
+        Programs other than the workers may write here, too. An entry that
+        can't be read names no worker, and must not keep this entry from the
+        ones behind it.
+        """
+        if not item.create_revision:
+            return None
+        try:
+            return self.decode(worker, item.value)
+        except FieldError as error:
+            reason = str(error)
+        except Exception as error:
+            logger.exception(f"registration {item.key[:200]!r} can't be read")
+            reason = repr(error)
+        self.events.note("worker.unreadable", worker=worker, reason=reason)
+        return None
--- a/cyclamenscale/platform/decode.py
+++ b/cyclamenscale/platform/decode.py
@@ -42,6 +42,10 @@
 
 MB_PER_GB = 1024
 
+#: Maximum magnitude of numbers. Larger integers have no equivalent float,
+#: and larger floats no equivalent millisecond.
+NUMBER_LIMIT = 1 << 63
+
 #: The platform's names for the states of a machine; a machine in an unknown
 #: state counts as down.
 MACHINE_STATES = {
@@ -60,7 +64,8 @@
 
     :param default: returned if the field is absent or null; None if the
         field is required.
-    :raises FieldError: if it is absent or of another type.
+    :raises FieldError: if it is absent, of another type or a number beyond
+        ``NUMBER_LIMIT``.
     """
     if not isinstance(table, dict):
         raise FieldError(where, table, "an object")
@@ -73,6 +78,9 @@
         raise FieldError(f"{where}.{name}", value, "no truth value")
     if not isinstance(value, kind):
         raise FieldError(f"{where}.{name}", value, str(kind))
+    if isinstance(value, NUMBER) and not abs(value) < NUMBER_LIMIT:
+        allowed = "a number that is less than 2^63"
+        raise FieldError(f"{where}.{name}", value, allowed)
     return value
 
 
@@ -84,6 +92,14 @@
     return field(table, name, list, where, [])
 
 
+def strings_field(table: Any, name: str, where: str) -> tuple[str, ...]:
+    """Return a field that is a list of strings, empty if it is absent."""
+    found = list_field(table, name, where)
+    if not all(isinstance(part, str) for part in found):
+        raise FieldError(f"{where}.{name}", found, "a list of strings")
+    return tuple(found)
+
+
 def resources(table: Any, where: str) -> Resources:
     """Decode resources; processors are in millicores, memory in MB."""
     cpu = field(table, "cpu", NUMBER, where, 0)
@@ -153,7 +169,7 @@
     table = from_json(data, where)
     return MaintenanceWave(
         field(table, "wave", int, where),
-        tuple(str(name) for name in list_field(table, "machines", where)),
+        strings_field(table, "machines", where),
         float(field(table, "duration-s", NUMBER, where, 60)),
         max(field(table, "max-count", int, where, 1), 1),
     )
@@ -173,7 +189,7 @@
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal():
         raise FieldError(f"{where}.address", address, "HOST:PORT")
-    labels = tuple(map(str, list_field(table, "labels", where)))
+    labels = strings_field(table, "labels", where)
     return WorkerRecord(
         worker,
         int(field(table, "born", NUMBER, where, 0)),
@@ -189,21 +205,49 @@
     )
 
 
+def text(value: Any, limit: int = 200) -> str:
+    """Return a string of a report.
+
+    :raises TypeError: if it is not a string of at most ``limit`` characters.
+    """
+    if not isinstance(value, str) or len(value) > limit:
+        raise TypeError(f"not a string of at most {limit} characters")
+    return value
+
+
+def run_report(row: Any) -> RunReport:
+    """Decode a row of a worker's runs; the usage may be missing."""
+    usage = [float(row[4])] if len(row) > 4 else []
+    return RunReport(
+        text(row[0]), int(row[1]), text(row[2] or ""), float(row[3]), *usage
+    )
+
+
+def end_report(row: Any) -> EndReport:
+    """Decode a row of a worker's ends."""
+    return EndReport(
+        int(row[0]),
+        text(row[1]),
+        int(row[2]),
+        text(row[3]),
+        text(row[4] or ""),
+    )
+
+
 def worker_report(data: bytes) -> WorkerReport:
     """Decode a worker's report of its runs and ends."""
     where = "hold"
     table = from_json(data, where)
     try:
-        runs = tuple(
-            RunReport(row[0], int(row[1]), row[2] or "", float(row[3]), *rest)
-            for row in list_field(table, "running", where)
-            for rest in ([float(row[4])] if len(row) > 4 else [],)
-        )
-        ends = tuple(
-            EndReport(int(row[0]), row[1], int(row[2]), row[3], row[4] or "")
-            for row in list_field(table, "ended", where)
-        )
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+        runs = tuple(map(run_report, list_field(table, "running", where)))
+        ends = tuple(map(end_report, list_field(table, "ended", where)))
+    except (
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+        OverflowError,
+    ) as error:
         raise FieldError(where, str(error), "rows of the known form") from None
     return WorkerReport(
         int(field(table, "clock-ms", NUMBER, where)),
@@ -224,7 +268,7 @@
     for row in list_field(table, "machines", where):
         state_name = field(row, "state", str, where)
         state = MACHINE_STATES.get(state_name, MACHINE_DOWN)
-        labels = list_field(row, "labels", where)
+        labels = strings_field(row, "labels", where)
         found.append(
             Machine(
                 field(row, "machine", str, where),
@@ -232,7 +276,7 @@
                 state == MACHINE_UP,
                 state,
                 field(row, "id", str, where, ""),
-                str(labels[1]) if len(labels) > 1 else "",
+                labels[1] if len(labels) > 1 else "",
             )
         )
     return found, table.get("next-token")
@@ -299,7 +343,7 @@
         allows_copies=flag("speculative"),
         long_running=flag("long-running"),
         checkpoints=flag("checkpointing"),
-        image=str(row.get("image") or ""),
+        image=get("image", str, ""),
         tail_target_ms=float(get("target-ms", NUMBER, 0.0)),
         best_effort=flag("fills"),
         max_unavailable=get("max-unavailable", int, 0),
--- a/cyclamenscale/util/codec.py
+++ b/cyclamenscale/util/codec.py
@@ -7,12 +7,16 @@
 
 from typing import Any, TypeVar
 
-from msgspec import DecodeError, ValidationError, json, msgpack
+from msgspec import DecodeError, json, msgpack
 
 from cyclamenscale.errors import FieldError, FrameError
 
 T = TypeVar("T")
 
+#: Errors of msgspec's decoders; data that is nested too deeply exceeds the
+#: interpreter's recursion limit.
+DECODE_ERRORS = (DecodeError, RecursionError)
+
 
 def encode_record(record: Any) -> bytes:
     """Encode a record as a JSON array for the store."""
@@ -29,7 +33,7 @@
     """
     try:
         return json.decode(data, type=record_type)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise FieldError(
             key, data[:80], f"a {record_type.__name__}"
         ) from error
@@ -60,7 +64,7 @@
     """
     try:
         return json.decode(data)
-    except DecodeError as error:
+    except DECODE_ERRORS as error:
         raise FieldError(source, data[:80], "JSON") from error
 
 
@@ -76,5 +80,5 @@
     """
     try:
         return msgpack.decode(data, type=value_type)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise FrameError("garbage") from error
--- a/test/platform/test_malformed.py
+++ b/test/platform/test_malformed.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from msgspec import json
 
-from cyclamenscale.errors import BadJobError, FieldError
+from cyclamenscale.errors import BadJobError, FieldError, FrameError
 from cyclamenscale.jobs.job_index import JobIndex
 from cyclamenscale.jobs.keys import (
     CANCEL,
@@ -23,6 +23,7 @@
     PROGRESS,
     WAVE,
 )
+from cyclamenscale.jobs.model import JobRecord
 from cyclamenscale.jobs.relay import (
     CreateRequest,
     RecordNotice,
@@ -37,6 +38,7 @@
     decode_response,
 )
 from cyclamenscale.store.port import KeyValue, WatchEvent
+from cyclamenscale.util.codec import decode_record, unpack
 from cyclamenscale.util.http_client import HttpResponse
 from test.jobs.test_notices import Entries, RecordedWatch
 from test.jobs.world import World, settled
@@ -183,6 +185,42 @@
         return
 
 
+def test_messages_that_are_nested_too_deeply_are_refused():
+    """Guards against an error of the interpreter instead of a refusal."""
+    for nested in (b"[" * 2000, b'{"a":' * 2000, b"[" * 2000 + b"]" * 2000):
+        for read in VALID:
+            with pytest.raises((FieldError, BadJobError)):
+                read(nested)
+            with pytest.raises((FieldError, BadJobError)):
+                read(json.encode(VALID[read])[:-1] + b',"x":' + nested + b"}")
+        with pytest.raises(FieldError):
+            decode_record(nested, JobRecord, "k")
+    with pytest.raises(FrameError):
+        unpack(b"\x91" * 5000, object)
+
+
+@pytest.mark.parametrize("read", VALID, ids=lambda read: read.__name__)
+@given(data=st.data())
+def test_numbers_that_are_too_large_are_refused(read, data):
+    """Guards against numbers without an equivalent float."""
+    valid = VALID[read]
+    path = data.draw(st.sampled_from(paths(valid)))
+    digits = data.draw(st.sampled_from((19, 320, 5000)))
+    message = json.encode(replaced(valid, path, "@"))
+    large = b"1" + b"0" * digits
+    try:
+        read(message.replace(b'"@"', large))
+    except (FieldError, BadJobError):
+        return
+
+
+def test_the_message_of_an_error_is_short():
+    """Guards against log lines of the size of a rejected value."""
+    value = "x" * 100_000
+    for found in (value, value.encode(), [value] * 50, {value: value}):
+        assert len(str(FieldError("f", found, "a number"))) < 3000
+
+
 @given(st.integers(100, 599), st.one_of(st.binary(max_size=20), VALUES))
 def test_any_response_of_a_worker_settles_its_call(status, body):
     """Guards against an order or a poll that is never answered."""
