Let the steps of all jobs take turns at the advice service

Cause: only the newest answer of a step was kept, and a call named the 30 workers with the most room. Where the policy allows none of these, each call named the same ones, and the first step in the order of jobs made all calls.

Change: tickets and refusals of all calls are kept, for each incarnation of a worker; steps that lack tickets take turns; one call is made at the end of a pass. Related paths: labels, rejected tickets, restarts, a failing service, short validity.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -67,6 +67,9 @@
         self.state = state
         self.orders = WorkerOrders(state, ports.workers)
         self.tickets = Tickets(state, ports.workers)
+        self.orders.discard_ticket = lambda task, worker: self.tickets.discard(
+            task.step, worker
+        )
         self.placement = Placement(state, self.orders, self.tickets)
         self.speeds = SpeedMonitor(state, self.orders, self.placement)
         self.poller = WorkerPoller(
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -8,6 +8,7 @@
 applies to one sending only: an earlier one may still be carried out.
 """
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 from cyclamenscale.errors import CallError, CallNotSentError
@@ -47,6 +48,8 @@
     :param state: shared state of the term.
     :param calls: calls to the workers.
     :ivar window: limit on the starts in flight to all workers.
+    :ivar discard_ticket: called with a task and the worker that rejected its
+        ticket.
     """
 
     def __init__(self, state: State, calls: WorkerCalls):
@@ -54,6 +57,9 @@
         self.state = state
         self.calls = calls
         self.window = StartWindow()
+        self.discard_ticket: Callable[[Task, Worker], None] = (
+            lambda task, worker: None
+        )
 
     def extend_lease(self, worker: Worker) -> int:
         """Extend the lease of a worker's runs and return its deadline."""
@@ -228,6 +234,8 @@
             worker.blocked_until_s = now_s + UNHEALTHY_PAUSE_S
             worker.consecutive_failures += 1
         elif reason not in ("old", "bad"):
+            if reason == "ticket" and run.task:
+                self.discard_ticket(run.task, worker)
             worker.blocked_until_s = now_s + REFUSED_PAUSE_S
         if run.key not in worker.runs:
             return
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -80,6 +80,7 @@
             if job.open_steps():
                 pools.setdefault(job.queue.pool, []).append(job)
         self.backlog.clear()
+        self.tickets.begin_pass()
         may_start, confirmed = state.may_start(), state.lease_confirmed()
         if not pools:
             return
@@ -99,6 +100,7 @@
                         self.place(step, candidates, reserved, now_s)
                     need = step.spec.need.processors
                     self.backlog[pool] += need * len(step.waiting)
+        self.tickets.request_next()
 
     def defer_late_jobs(
         self, by_pool: dict[str, Candidates], now_s: float
--- a/cyclamenscale/jobs/ports.py
+++ b/cyclamenscale/jobs/ports.py
@@ -131,11 +131,15 @@
         """
 
     @abstractmethod
-    def advise(self, step: str, workers: list[str]) -> Future:
+    def advise(
+        self, step: str, workers: list[str], expected_ms: int
+    ) -> Future:
         """Request placement tickets for a step.
 
         The future's result is a dictionary of worker id to ticket, or None
         if the advice service is busy.
+
+        :param expected_ms: time that an idle service takes for the call.
         """
 
 
--- a/cyclamenscale/platform/workers.py
+++ b/cyclamenscale/platform/workers.py
@@ -32,8 +32,9 @@
 #: Added to the time that a poll may wait, for its timeout.
 POLL_MARGIN_MS = 250
 
-#: Timeout of an advice call; the service handles one call at a time.
-ADVICE_TIMEOUT_MS = 2000
+#: Added to the time that an advice call should take, for its timeout; the
+#: service handles one call at a time.
+ADVICE_MARGIN_MS = 2000
 
 #: Reasons of refusals that the status alone determines.
 STATUS_REASONS = {
@@ -178,19 +179,21 @@
         call = self.post(worker, "/hold", body, timeout_ms, new_connection)
         return decode_response(call, decode_poll_response)
 
-    def advise(self, step: str, workers: list[str]) -> Future:
+    def advise(
+        self, step: str, workers: list[str], expected_ms: int
+    ) -> Future:
         """Request placement tickets."""
 
         def decode_tickets(answer: HttpResponse) -> dict[str, str] | None:
             if answer.status != 200:
                 return None
             table = from_json(answer.body, "advice")
-            return {row[0]: row[1] for row in table["allowed"]}
+            return {str(row[0]): str(row[1]) for row in table["allowed"]}
 
         call = self.client.request(
             "POST",
             f"http://{self.advice_address}/advise",
             json.encode({"step": step, "workers": workers}),
-            timeout_ms=ADVICE_TIMEOUT_MS,
+            timeout_ms=expected_ms + ADVICE_MARGIN_MS,
         )
         return decode_response(call, decode_tickets)
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -383,7 +383,7 @@
 
         return self.deliver(worker, carry_out, request)
 
-    def advise(self, step, workers):
+    def advise(self, step, workers, expected_ms):
         """Allow every second worker."""
         self.world.advice_calls.append((step, workers))
         return settled({worker: f"t-{worker}" for worker in workers[::2]})
