Reserve only workers on which a lasting task will fit

Cause: a worker was kept free of short tasks for each lasting task that fitted nowhere, without asking whether it can ever run there. One hopeless step reserved all workers of a pool of four.

Evidence: a new line job.waiting counts the workers by what keeps a job from them.

Change: label, capacity beside the worker's lasting runs, tasks per worker and refusals of the advice service decide whether a worker is reserved; at most half of a pool's candidates are.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -25,6 +25,7 @@
 from cyclamenscale.jobs.speeds import SpeedMonitor
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.throttling import Throttling
+from cyclamenscale.jobs.waiting import WaitingReport
 from cyclamenscale.jobs.worker import Worker
 
 #: Interval of the work that depends on time alone.
@@ -80,6 +81,7 @@
         self.machines = MachineOperations(
             state, ports.machines, ports.store, self.orders, self.placement
         )
+        self.waiting = WaitingReport(state, self.placement)
         self.next_tick_s = 0.0
 
     def add_job(
@@ -218,6 +220,7 @@
         self.ledger.drop_idle()
         self.throttling.run(now_s)
         self.machines.run(now_s)
+        self.waiting.run(now_s)
         # Placement also depends on time, such as the end of a worker's block.
         state.mark_changed()
 
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -468,7 +468,7 @@
         for worker in state.workers.values():
             record = worker.record
             allocated[record.pool] += worker.allocated.processors
-            long_running[record.pool] += worker.long_running_processors
+            long_running[record.pool] += worker.long_running.processors
             processors[record.pool] = max(
                 processors.get(record.pool, 0.0), record.capacity.processors
             )
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -67,6 +67,8 @@
         self.backlog: Counter[str] = Counter()
         #: Machines on their way to each pool.
         self.arrivals: dict[str, list[Arrival]] = {}
+        #: Workers that the last pass kept free of short tasks.
+        self.reserved: set[str] = set()
         self.next_selection_s = 0.0
         self.passes = 0
 
@@ -88,6 +90,7 @@
         if now_s >= self.next_selection_s:
             self.next_selection_s = now_s + SELECTION_INTERVAL_S
             self.defer_late_jobs(by_pool, now_s)
+        self.reserved.clear()
         for pool, jobs in self.rotate(pools):
             candidates = by_pool[pool]
             jobs.sort(key=lambda job: self.order(job, now_s))
@@ -100,6 +103,7 @@
                         self.place(step, candidates, reserved, now_s)
                     need = step.spec.need.processors
                     self.backlog[pool] += need * len(step.waiting)
+            self.reserved |= reserved
         self.tickets.request_next()
 
     def defer_late_jobs(
@@ -129,7 +133,7 @@
         """Return the processors of a pool that short tasks can use."""
         processors = sum(
             candidate.worker.record.capacity.processors
-            - candidate.worker.long_running_processors
+            - candidate.worker.long_running.processors
             for candidate in candidates
         )
         return Supply(
@@ -160,27 +164,40 @@
         for worker in self.state.workers.values():
             found = by_pool.get(worker.record.pool)
             if found is not None and self.accepts_tasks(worker, now_s):
-                on_probation = (
-                    worker.slow
-                    or worker.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-                )
-                found.append(Candidate(worker, on_probation))
+                found.append(self.candidate(worker))
         return {pool: Candidates(found) for pool, found in by_pool.items()}
 
+    def candidate(self, worker: Worker) -> Candidate:
+        """Return a worker as a candidate."""
+        failures = worker.consecutive_failures
+        return Candidate(
+            worker, worker.slow or failures >= MAX_CONSECUTIVE_FAILURES
+        )
+
     def accepts_tasks(self, worker: Worker, now_s: float) -> bool:
         """Return whether tasks may be placed on a worker at all."""
+        return not self.rejection(worker, now_s)
+
+    def rejection(self, worker: Worker, now_s: float) -> str:
+        """Return why no task may be placed on a worker, or empty."""
+        if worker.terminated:
+            return "terminated"
+        if worker.failed_polls or worker.immediate_poll_due_s:
+            return "silent"
+        if worker.fence != self.state.term.fence:
+            return "not polled"
+        if not worker.in_registry:
+            return "not registered"
+        if worker.record.leaving:
+            return "leaving"
+        if worker.cordon_reason:
+            return "cordoned"
+        if now_s < worker.blocked_until_s:
+            return "blocked"
         fresh_s = self.state.settings.jobs.fresh_s
-        return (
-            worker.fence == self.state.term.fence
-            and worker.in_registry
-            and not worker.record.leaving
-            and not worker.cordon_reason
-            and not worker.terminated
-            and not worker.failed_polls
-            and not worker.immediate_poll_due_s
-            and now_s - worker.last_response_s < fresh_s
-            and now_s >= worker.blocked_until_s
-        )
+        if now_s - worker.last_response_s >= fresh_s:
+            return "late report"
+        return ""
 
     def place(
         self,
@@ -241,20 +258,45 @@
 
     def fits(self, step: StepState, candidate: Candidate) -> bool:
         """Return whether a task of a step may start on a worker."""
+        return not self.misfit(step, candidate)
+
+    def misfit(self, step: StepState, candidate: Candidate) -> str:
+        """Return why a task of a step can't start on a worker, or empty."""
         worker, spec = candidate.worker, step.spec
         if worker.orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
-            return False
+            return "orders in flight"
         if candidate.on_probation and has_short_run(worker):
-            return False
+            return "on probation"
         if spec.label and spec.label not in worker.record.labels:
-            return False
+            return "label"
         if not worker.has_capacity(spec.need, spec.best_effort):
-            return False
+            return "unknown runs" if worker.unknown_runs else "no room"
         if spec.max_per_worker and spec.max_per_worker <= count_tasks_on(
             step, worker
         ):
-            return False
-        return self.tickets.allows(step, worker)
+            return "tasks per worker"
+        return "" if self.tickets.allows(step, worker) else "no ticket"
+
+    def obstacle(self, step: StepState, worker: Worker, now_s: float) -> str:
+        """Return what keeps a step from a worker, or empty."""
+        found = self.rejection(worker, now_s)
+        if found:
+            return found
+        if worker.id in self.reserved and not step.spec.long_running:
+            return "reserved"
+        return self.misfit(step, self.candidate(worker))
+
+    def hold_reason(self, step: StepState, now_s: float) -> str:
+        """Return why no task of a step may start on any worker, or empty."""
+        if not self.state.may_start():
+            return "the lease is not confirmed"
+        if step.job.needs_confirmed_lease and not self.state.lease_confirmed():
+            return "accepted without a confirmed lease"
+        if self.may_run_unpolled(step.job, now_s):
+            return "a worker that was not polled may run it"
+        if self.orders.window.is_full:
+            return "too many starts in flight"
+        return ""
 
     def rank(self, task: Task, worker: Worker) -> tuple:
         """Return a sort key that is lowest for the best worker."""
@@ -305,23 +347,40 @@
         candidates: Candidates,
         reserved: set[str],
     ) -> None:
-        """Keep a worker free of short tasks until a long-running one fits."""
-        if len(reserved) >= MAX_RESERVATIONS:
+        """Keep a worker free of short tasks until a long-running one fits.
+
+        Only workers on which it will fit are kept free, and no more than
+        half of them: the task may have to wait for a short one that runs for
+        long, or for its tickets.
+        """
+        limit = min(MAX_RESERVATIONS, max(len(candidates) // 2, 1))
+        if len(reserved) >= limit:
             return
         eligible = [
             candidate.worker
             for candidate in candidates
             if candidate.worker.id not in reserved
             and not candidate.on_probation
-            and (
-                not step.spec.max_per_worker
-                or count_tasks_on(step, candidate.worker)
-                < step.spec.max_per_worker
-            )
+            and self.fits_later(step, candidate.worker)
         ]
         if eligible:
             reserved.add(max(eligible, key=lambda w: w.free_share).id)
 
+    def fits_later(self, step: StepState, worker: Worker) -> bool:
+        """Return whether a task fits once a worker's short runs have ended."""
+        spec = step.spec
+        return (
+            (not spec.label or spec.label in worker.record.labels)
+            and worker.has_capacity_beside_long_runs(
+                spec.need, spec.best_effort
+            )
+            and (
+                not spec.max_per_worker
+                or count_tasks_on(step, worker) < spec.max_per_worker
+            )
+            and not self.tickets.refuses(step, worker)
+        )
+
     def place_gang(
         self,
         step: StepState,
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -7,6 +7,8 @@
 passed in.
 """
 
+from collections.abc import Iterable
+
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import RunReport, WorkerRecord
 from cyclamenscale.jobs.steps import Task
@@ -179,8 +181,7 @@
     :ivar slow: whether its runs take much longer than elsewhere.
     :ivar slow_since_s: when this was last observed.
     :ivar allocated: resources that its runs need.
-    :ivar long_running_processors: the part of them that long-running tasks
-        need, without best-effort ones.
+    :ivar long_running: the part of them that long-running tasks need.
     :ivar unknown_runs: number of runs whose job is not known, so that their
         needs aren't either.
     :ivar terminated: whether this incarnation has certainly ended.
@@ -219,7 +220,7 @@
         self.slow_since_s = 0.0
         self.orders_in_flight = 0
         self.allocated = Resources()
-        self.long_running_processors = 0.0
+        self.long_running = Resources()
         self.unknown_runs = 0
         self.terminated = False
 
@@ -284,19 +285,13 @@
 
     def update_allocated(self) -> None:
         """Sum the needs of the runs; best-effort runs need no processors."""
-        processors = memory = long_running = 0.0
-        accelerators = unknown_runs = 0
-        for run in self.runs.values():
-            unknown_runs += run.task is None
-            if not run.best_effort:
-                processors += run.need.processors
-                if run.task and run.task.step.spec.long_running:
-                    long_running += run.need.processors
-            memory += run.need.memory_gb
-            accelerators += run.need.accelerators
-        self.allocated = Resources(processors, memory, accelerators)
-        self.long_running_processors = long_running
-        self.unknown_runs = unknown_runs
+        self.allocated = total_need(self.runs.values())
+        self.long_running = total_need(
+            run
+            for run in self.runs.values()
+            if run.task and run.task.step.spec.long_running
+        )
+        self.unknown_runs = sum(run.task is None for run in self.runs.values())
 
     def has_capacity(self, need: Resources, best_effort: bool) -> bool:
         """Return whether a task fits beside the runs.
@@ -307,10 +302,23 @@
         :param need: resources of the task.
         :param best_effort: whether the task is best-effort.
         """
-        if self.unknown_runs:
-            return False
+        return not self.unknown_runs and self.fits_beside(
+            self.allocated, need, best_effort
+        )
+
+    def has_capacity_beside_long_runs(
+        self, need: Resources, best_effort: bool
+    ) -> bool:
+        """Return whether a task will fit once the short runs have ended."""
+        return not self.unknown_runs and self.fits_beside(
+            self.long_running, need, best_effort
+        )
+
+    def fits_beside(
+        self, used: Resources, need: Resources, best_effort: bool
+    ) -> bool:
+        """Return whether a task fits beside an amount that is used."""
         capacity = self.record.capacity
-        used = self.allocated
         return (
             (
                 best_effort
@@ -337,3 +345,15 @@
         run.usage = report.usage
         if report.checkpoint and run.task:
             run.task.checkpoint = report.checkpoint
+
+
+def total_need(runs: Iterable[Run]) -> Resources:
+    """Sum the needs of runs; best-effort runs need no processors."""
+    processors = memory = 0.0
+    accelerators = 0
+    for run in runs:
+        if not run.best_effort:
+            processors += run.need.processors
+        memory += run.need.memory_gb
+        accelerators += run.need.accelerators
+    return Resources(processors, memory, accelerators)
--- a/test/jobs/test_placement.py
+++ b/test/jobs/test_placement.py
@@ -6,8 +6,8 @@
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.job_orders import due_first, find_order, small_first
-from cyclamenscale.jobs.model import JobRecord, JobSpec, Step
-from test.jobs.world import QUEUE, World
+from cyclamenscale.jobs.model import Advice, JobRecord, JobSpec, Step
+from test.jobs.world import QUEUE, World, settled
 
 SMALL = Step(2, Resources(2.0, 1.0), 500.0)
 LARGE = Step(24, Resources(8.0, 1.0), 500.0)
@@ -113,3 +113,72 @@
     world.finish("good")
     world.run()
     assert len(world.running("good")) == 1
+
+
+def short_jobs_beside_a_long_one(world: World, step: Step, jobs: int = 8):
+    """Submit a long-running step, then short jobs; return how many began."""
+    world.submit("long", step._replace(long_running=True))
+    world.run()
+    for number in range(jobs):
+        world.submit(f"s{number}", SMALL)
+    world.run(1.0)
+    return sum(bool(world.running(f"s{number}.")) for number in range(jobs))
+
+
+@pytest.mark.parametrize(
+    "hopeless",
+    [
+        Step(5, Resources(1.0, 1.0), label="none"),
+        Step(5, Resources(65.0, 1.0)),
+        Step(5, Resources(1.0, 1000.0)),
+        Step(5, Resources(1.0, 1.0, 1)),
+    ],
+    ids=["label", "processors", "memory", "accelerators"],
+)
+def test_a_long_running_task_that_fits_nowhere_reserves_no_worker(hopeless):
+    """Guards against a pool that stands idle for a task that can't run."""
+    world = World()
+    world.lead()
+    world.run()
+    assert short_jobs_beside_a_long_one(world, hopeless) == 8
+
+
+def test_workers_full_of_long_running_tasks_are_not_reserved():
+    """Guards against room for short tasks that is kept for a later one."""
+    world = World()
+    world.lead()
+    world.run()
+    filling = Step(4, Resources(40.0, 1.0), long_running=True)
+    world.submit("first", filling)
+    world.run()
+    assert short_jobs_beside_a_long_one(world, filling) == 8
+
+
+def test_half_of_a_pool_is_reserved_at_most():
+    """Guards against a pool that waits for short tasks that run for long."""
+    world = World()
+    world.lead()
+    world.run()
+    world.submit("busy", Step(4, Resources(1.0, 1.0), max_per_worker=1))
+    world.run()
+    assert len({worker for _, _, worker in world.running("busy")}) == 4
+    step = Step(5, Resources(64.0, 1.0))
+    assert short_jobs_beside_a_long_one(world, step) == 8
+
+
+def test_a_task_that_no_worker_may_run_reserves_no_worker():
+    """Guards against a pool that stands idle for a step without tickets."""
+    world = World(workers=1)
+    world.workers.advise = lambda step, workers, expected_ms: settled({})
+    advised = QUEUE._replace(advice=Advice(1.0, 1.0, 3000.0))
+    world.lead()
+    world.run()
+    world.manifest.queues["replan"] = advised
+    world.submit(
+        "long", Step(1, Resources(1.0, 1.0), long_running=True), queue=advised
+    )
+    world.run()
+    world.manifest.queues["other"] = QUEUE._replace(name="other")
+    world.submit("next", SMALL, queue=QUEUE._replace(name="other"))
+    world.run()
+    assert world.running("next")
