Refuse registrations whose address or id can't be called

Operators of similar systems saw machines stop following the list of workers after an odd entry, one with a port out of range among them.

Cause here: an address was any text, a colon and decimal digits, and an id any key. A port over 65535 became a worker that is polled for ever and never answers; after a takeover, jobs of its pool wait for the end of the longest task lease. A NUL in either raised ValueError in the pass that polls, and a line break in an id began another header.

Evidence: HttpClient.request with these values, on the code before: "ValueError embedded null byte", "URL rejected: Port number was not a decimal number between 0 and 65535".

Change: ids are printable, addresses a host and a port from 1 to 65535; the client fails a call whose URL or header can't be sent.

--- a/cyclamenscale/platform/decode.py
+++ b/cyclamenscale/platform/decode.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from re import compile as pattern
 from typing import Any, TypeVar
 
 from cyclamenscale.errors import BadJobError, FieldError
@@ -42,6 +43,11 @@
 
 MB_PER_GB = 1024
 
+#: Ids that a header can carry, and addresses that a URL can.
+WORKER_ID = pattern(r"[!-~]{1,200}")
+ADDRESS = pattern(r"[0-9A-Za-z.-]{1,253}:(?P<port>[0-9]{1,5})")
+MAX_PORT = 65535
+
 #: Maximum magnitude of numbers. Larger integers have no equivalent float,
 #: and larger floats no equivalent millisecond.
 NUMBER_LIMIT = 1 << 63
@@ -185,10 +191,14 @@
     state = field(table, "state", str, where)
     if state not in ("ready", "draining"):
         raise FieldError(f"{where}.state", state, "ready or draining")
+    if not WORKER_ID.fullmatch(worker):
+        allowed = "at most 200 printable characters without spaces"
+        raise FieldError("servers", worker, allowed)
     address = field(table, "address", str, where)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        raise FieldError(f"{where}.address", address, "HOST:PORT")
+    found = ADDRESS.fullmatch(address)
+    if not found or not 1 <= int(found["port"]) <= MAX_PORT:
+        allowed = f"HOST:PORT with a port from 1 to {MAX_PORT}"
+        raise FieldError(f"{where}.address", address, allowed)
     labels = strings_field(table, "labels", where)
     return WorkerRecord(
         worker,
--- a/cyclamenscale/util/http_client.py
+++ b/cyclamenscale/util/http_client.py
@@ -158,7 +158,7 @@
         try:
             curl.setopt(pycurl.URL, url)
             curl.setopt(pycurl.HTTPHEADER, [*COMMON_HEADERS, *headers])
-        except (pycurl.error, UnicodeError) as error:
+        except (pycurl.error, ValueError) as error:
             pending.outcome.set_exception(CallNotSentError(str(error)))
             return pending.outcome
         curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
--- a/test/jobs/test_registry.py
+++ b/test/jobs/test_registry.py
@@ -53,6 +53,14 @@
     "large-capacity": with_raw("capacity", b'{"cpu":1' + b"0" * 400 + b"}"),
     "float-capacity": with_raw("capacity", b'{"cpu":1e300,"mem-mb":1e300}'),
     "large-gpu": with_raw("capacity", b'{"cpu":1,"gpu":1e300}'),
+    "port-too-large": with_raw("address", b'"10.0.0.1:65536"'),
+    "port-zero": with_raw("address", b'"10.0.0.1:0"'),
+    "port-of-many-digits": with_raw(
+        "address", b'"10.0.0.1:' + b"9" * 5000 + b'"'
+    ),
+    "port-in-other-digits": with_raw("address", '"10.0.0.1:٨٠"'.encode()),
+    "host-with-nul": with_raw("address", rb'"10.0.0.1\u0000:80"'),
+    "host-with-a-path": with_raw("address", b'"10.0.0.1/x?y=:80"'),
     "unknown-state": with_raw("state", b'"asleep"'),
     "service-of-another-type": with_raw("service", b"[]"),
 }
@@ -120,6 +128,16 @@
     assert found.known == {"a", "c"}
 
 
+@pytest.mark.parametrize(
+    "name", ["w\r\nX-Other: 1", "w\x00", "w w", "wórker", "", "w" * 300]
+)
+def test_a_registration_under_an_odd_key_names_no_worker(name):
+    """Guards against an id that can't be sent in the header of an order."""
+    valid = json.encode(VALID)
+    found = ReadRegistry({"a": valid, name: valid, "z": valid})
+    assert found.known == {"a", "z"}
+
+
 def test_a_worker_whose_registration_becomes_odd_gets_no_new_tasks():
     """Guards against tasks for a worker that its entry no longer names."""
     found = ReadRegistry({"a": json.encode(VALID)})
--- a/test/util/test_http_client.py
+++ b/test/util/test_http_client.py
@@ -119,7 +119,15 @@
         return listener.getsockname()[1]
 
 
-def test_an_unusable_address_fails_the_call_alone():
+@pytest.mark.parametrize("host", ["b\u00e9ta:1", "w\0:1", "w:1\0"])
+def test_an_unusable_address_fails_the_call_alone(host):
     """Guards against a registration that stops the polls of all workers."""
-    call = send(HttpClient(Loop()), "http://b\u00e9ta:1/hold")
+    call = send(HttpClient(Loop()), f"http://{host}/hold")
+    assert isinstance(call.exception(), CallNotSentError)
+
+
+def test_an_unusable_header_fails_the_call_alone():
+    """Guards against the same for the id that an order names."""
+    client = HttpClient(Loop())
+    call = client.request("POST", "http://w:1/hold", BODY, ("Id: w\0",))
     assert isinstance(call.exception(), CallNotSentError)
