Run no finished job again when the answer to its acceptance is late

Cause: the leader accepts a job itself. The watch delivers it before the answer of the store arrives; it runs, its end is stored, and the coordinator forgets it. index_stored_job then passed it to the coordinator as a new job. The same for a job cancelled meanwhile.

Change: one function passes jobs of the index to the coordinator, and leaves out those that have ended or were cancelled. Related path: the ledger tells the index of a record that a lost answer hid.

--- a/cyclamenscale/jobs/calls.py
+++ b/cyclamenscale/jobs/calls.py
@@ -111,8 +111,10 @@
                 record = decode_record(stored.value, JobRecord, job_key(job))
             indexed.record = record
             indexed.revision = stored.revision
-        if self.entry.coordinator and stored.revision:
-            self.entry.coordinator.add_job(record, stored.revision)
+        if stored.revision:
+            # The answer may be late: the watch may have delivered the job,
+            # and the coordinator may have finished it, before.
+            self.entry.add_open_job(job)
             self.entry.schedule_decision()
 
     def state(self, queue: Queue, job: str) -> Future:
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -413,15 +413,25 @@
             return
         for item in items:
             job = item.key.rpartition("/")[2]
+            if item.key == job_key(job):
+                self.add_open_job(job)
             indexed = self.job_index.jobs.get(job)
-            if not indexed or not indexed.record:
-                continue
-            if item.key == job_key(job) and indexed.state not in FINAL_STATES:
-                self.coordinator.add_job(indexed.record, indexed.revision)
-            if indexed.cancelled:
+            if indexed and indexed.record and indexed.cancelled:
                 self.coordinator.cancel_job(job)
         self.schedule_decision()
 
+    def add_open_job(self, job: str) -> None:
+        """Pass an indexed job to the coordinator unless it has ended.
+
+        The coordinator forgets jobs that have ended, and would run them
+        again.
+        """
+        indexed = self.job_index.jobs.get(job)
+        if not self.coordinator or not indexed or not indexed.record:
+            return
+        if indexed.state not in FINAL_STATES:
+            self.coordinator.add_job(indexed.record, indexed.revision)
+
     def apply_operator(self, items: list[KeyValue], revision: int) -> None:
         """Apply manifests and maintenance waves written by operators."""
         for item in items:
--- a/cyclamenscale/jobs/ledger.py
+++ b/cyclamenscale/jobs/ledger.py
@@ -164,6 +164,7 @@
                 job.stored = decode_record(
                     found.value, ProgressRecord, found.key
                 )
+                self.on_stored(job.record.id, job.stored, found.mod_revision)
             job.dirty = True
 
     def record_failure(self, error: BaseException) -> None:
