Compare the revisions of the fleet record and of waves when writing them

Cause: the write of cyclamen/fleet compared the leader's key only. One without an answer was carried out five seconds late, after newer ones of the same leader, and put an older list of ordered machines back. The successor did not hold those machines back. report_wave had the same fault.

Change: both writes compare the revision of the record they replace, from the index at the begin of a term and from each answer after that. A failed comparison under an unchanged leader's key is a lost answer: the revision is taken, nothing is ordered, and the record is written again.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -506,10 +506,16 @@
         coordinator = Coordinator(state, self.ports, self.record_progress)
         self.coordinator = coordinator
         restore_jobs(coordinator, self.job_index)
-        coordinator.machines.takeover.restore(self.job_index.fleet)
+        index = self.job_index
+        coordinator.machines.takeover.restore(
+            index.fleet, index.fleet_revision
+        )
         for wave in self.waves.values():
-            record = self.job_index.waves.get(wave.number)
-            coordinator.machines.waves.add_wave(wave, record)
+            coordinator.machines.waves.add_wave(
+                wave,
+                index.waves.get(wave.number),
+                index.wave_revisions.get(wave.number, 0),
+            )
         self.registry = WorkerRegistry(
             self.loop,
             self.ports.store,
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -95,6 +95,9 @@
         #: Progress of waves by number.
         self.waves: dict[int, WaveRecord] = {}
         self.fleet = FleetRecord()
+        #: Revisions of these records; waves by number.
+        self.wave_revisions: dict[int, int] = {}
+        self.fleet_revision = 0
         #: Locations of the entries by name.
         self.entries: dict[str, EntryRecord] = {}
         #: Capacities of the entries that publish them, by name.
@@ -127,11 +130,13 @@
             job = key.removeprefix(PROGRESS)
             self.update_progress(job, record, item.mod_revision, now_s)
         elif key == FLEET and not deleted:
+            self.fleet_revision = item.mod_revision
             self.fleet = decode_record(item.value, FleetRecord, key)
         elif key.startswith(WAVE) and not deleted:
             number = key.removeprefix(WAVE)
             if not number.isdecimal():
                 raise FieldError(key, number, "the number of a wave")
+            self.wave_revisions[int(number)] = item.mod_revision
             record = decode_record(item.value, WaveRecord, key)
             self.waves[int(number)] = record
         elif key.startswith(ENTRY):
--- a/cyclamenscale/jobs/ports.py
+++ b/cyclamenscale/jobs/ports.py
@@ -170,10 +170,16 @@
         """
 
     @abstractmethod
-    def report_wave(self, wave: int, record: WaveRecord, fence: int) -> Future:
+    def report_wave(
+        self, wave: int, record: WaveRecord, fence: int, revision: int
+    ) -> Future:
         """Report a wave's progress, if the fencing token is still valid.
 
-        The future fails like those of :class:`StoreCalls`.
+        The future's result is a ``TxnResult``; it fails like those of
+        :class:`StoreCalls`.
+
+        :param revision: revision of the record that is replaced, 0 if there
+            is none. A report that is stored late then replaces no newer one.
         """
 
 
--- a/cyclamenscale/jobs/takeover.py
+++ b/cyclamenscale/jobs/takeover.py
@@ -12,7 +12,7 @@
 from cyclamenscale.jobs.model import FleetRecord
 from cyclamenscale.jobs.ports import StoreCalls
 from cyclamenscale.jobs.state import State
-from cyclamenscale.store.port import Compare, Put
+from cyclamenscale.store.port import Compare, Put, TxnResult
 from cyclamenscale.util.codec import encode_record
 
 #: Added to the time for which orders of the previous leader exclude ours.
@@ -41,19 +41,24 @@
         self.previous_orders: set[str] = set()
         #: When this leader last sent or planned an order, by machine.
         self.last_order_s: dict[str, float] = {}
-        #: Machines named in the stored record, and that record.
+        #: Machines named in the stored record, that record, and its revision
+        #: (0 if there is none).
         self.stored_machines: set[str] = set()
         self.stored_record: FleetRecord | None = None
+        self.stored_revision = 0
         self.save_in_flight = False
         self.saved_s = 0.0
 
-    def restore(self, record: FleetRecord) -> None:
+    def restore(self, record: FleetRecord, revision: int) -> None:
         """Load the record of the previous leader.
 
+        :param revision: revision of the record, 0 if there is none.
+
         Demand peaks are stored with wall-clock times; the clocks of entries
         differ by less than the duration of a peak.
         """
         state = self.state
+        self.stored_revision = revision
         self.previous_orders = set(record.recently_ordered)
         shift_s = state.clock() - state.wall()
         self.planner.initial_sizes = dict(record.initial_pool_sizes)
@@ -70,6 +75,10 @@
         An order is sent only once the record names its machine. A machine
         is removed from the record as soon as another leader may send orders
         for it, since the next leader can't tell how old the record is.
+
+        A write without a response may be carried out seconds later. It
+        compares the revision of the record, so that it then changes nothing
+        if a later one was carried out before.
         """
         if self.save_in_flight or not self.state.lease_confirmed():
             return
@@ -108,13 +117,30 @@
 
         def saved(done: Future) -> None:
             self.save_in_flight = False
-            if not done.exception() and done.result().succeeded:
+            if done.exception():
+                state.metrics.incr("jobs.fleet_record_failed")
+                return
+            result: TxnResult = done.result()
+            if result.succeeded:
                 self.stored_machines = machines
                 self.stored_record = record
+                self.stored_revision = result.revision
                 self.saved_s = now_s
+                return
+            leader = result.current.get(LEADER)
+            if not leader or leader.mod_revision != state.term.fence:
+                state.superseded = "the leader's key has changed"
+                return
+            # An earlier write without a response was carried out.
+            found = result.current.get(FLEET)
+            self.stored_revision = found.mod_revision if found else 0
+            self.stored_machines = set()
 
         self.store.txn(
-            [Compare(LEADER, state.term.fence)],
+            [
+                Compare(LEADER, state.term.fence),
+                Compare(FLEET, self.stored_revision),
+            ],
             [Put(FLEET, encode_record(record))],
         ).add_done_callback(saved)
 
--- a/cyclamenscale/jobs/waves.py
+++ b/cyclamenscale/jobs/waves.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from cyclamenscale.jobs.capacity import CapacityPlanner
+from cyclamenscale.jobs.keys import LEADER, wave_key
 from cyclamenscale.jobs.model import (
     MACHINE_MAINTENANCE,
     Machine,
@@ -14,6 +15,7 @@
 from cyclamenscale.jobs.ports import MachineCalls
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.worker import Worker
+from cyclamenscale.store.port import TxnResult
 
 #: Time to empty and maintain one machine, and time kept in reserve. Machines
 #: of the pool in its demand peak wait until a wave needs its remaining time.
@@ -69,6 +71,8 @@
         self.calls = calls
         self.fleet = fleet
         self.waves: dict[int, WaveState] = {}
+        #: Revision of the stored progress of each wave, 0 if there is none.
+        self.stored_revisions: dict[int, int] = {}
         self.report_in_flight = False
 
     def run(self, now_s: float) -> None:
@@ -95,13 +99,18 @@
             self.waves[wave].started.add(machine)
 
     def add_wave(
-        self, wave: MaintenanceWave, record: WaveRecord | None = None
+        self,
+        wave: MaintenanceWave,
+        record: WaveRecord | None = None,
+        revision: int = 0,
     ) -> None:
         """Add a requested wave.
 
         :param record: its progress as an earlier coordinator stored it.
+        :param revision: revision of that record, 0 if there is none.
         """
         if wave.number not in self.waves:
+            self.stored_revisions[wave.number] = revision
             now_ms = int(self.state.wall() * 1000)
             if record is None:
                 record = WaveRecord(now_ms, (), False)
@@ -205,7 +214,9 @@
 
         def handle_response(done: Future) -> None:
             self.report_in_flight = False
-            if not done.exception():
+            if not done.exception() and self.record_stored(
+                progress.wave.number, done.result()
+            ):
                 progress.reported.update((status, summary))
                 self.state.events.note(
                     "wave.reported",
@@ -219,7 +230,28 @@
             tuple(sorted(progress.started)),
             status == "completed",
         )
+        number = progress.wave.number
         call = self.calls.report_wave(
-            progress.wave.number, record, self.state.term.fence
+            number,
+            record,
+            self.state.term.fence,
+            self.stored_revisions[number],
         )
         call.add_done_callback(handle_response)
+
+    def record_stored(self, wave: int, result: TxnResult) -> bool:
+        """Record the revision of a wave's stored progress.
+
+        :returns: whether the report was stored; if not, an earlier one
+            without a response was, and it is repeated.
+        """
+        if result.succeeded:
+            self.stored_revisions[wave] = result.revision
+            return True
+        leader = result.current.get(LEADER)
+        if not leader or leader.mod_revision != self.state.term.fence:
+            self.state.superseded = "the leader's key has changed"
+            return False
+        found = result.current.get(wave_key(wave))
+        self.stored_revisions[wave] = found.mod_revision if found else 0
+        return False
--- a/cyclamenscale/platform/machines.py
+++ b/cyclamenscale/platform/machines.py
@@ -115,12 +115,14 @@
         body = {"machine": machine, "wave": wave}
         return self.order("/machine-upkeep", body, holder, fence)
 
-    def report_wave(self, wave: int, record: WaveRecord, fence: int) -> Future:
+    def report_wave(
+        self, wave: int, record: WaveRecord, fence: int, revision: int
+    ) -> Future:
         """Store the progress of a wave if this entry is still the leader."""
         state = "completed" if record.completion_reported else "active"
         status = json.encode({"wave": wave, "state": state})
         return self.store.txn(
-            [Compare(LEADER, fence)],
+            [Compare(LEADER, fence), Compare(wave_key(wave), revision)],
             [
                 Put(f"{WAVE_STATUS_PREFIX}{wave}", status),
                 Put(wave_key(wave), encode_record(record)),
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -68,7 +68,9 @@
     """
     world = World()
     world.lead()
-    world.coordinator.machines.takeover.restore(FleetRecord(("m-pool-a-0",)))
+    world.coordinator.machines.takeover.restore(
+        FleetRecord(("m-pool-a-0",)), 0
+    )
     request_wave(world, "m-pool-a-0", "m-pool-a-1", limit=2)
     world.run(3.0)
     assert world.machines.orders == [("upkeep", "m-pool-a-1", 1)]
@@ -89,7 +91,7 @@
     record = decode_record(item.value, FleetRecord, FLEET)
     assert record.recently_ordered == ("m-pool-a-0",)
     world.lead("e2")
-    world.coordinator.machines.takeover.restore(record)
+    world.coordinator.machines.takeover.restore(record, 0)
     after = world.coordinator.machines
     assert after.takeover.previous_orders == {"m-pool-a-0"}
     assert after.planner.initial_sizes == {"pool-a": 4}
@@ -112,7 +114,7 @@
     for holder in ("e2", "e3"):
         record = fleet_record(world)
         world.lead(holder)
-        world.coordinator.machines.takeover.restore(record)
+        world.coordinator.machines.takeover.restore(record, 0)
         world.run(0.5)
     assert world.coordinator.machines.takeover.is_excluded(
         "m-pool-a-0", world.clock()
@@ -140,7 +142,7 @@
     world = World()
     world.lead()
     machines = world.coordinator.machines
-    machines.takeover.restore(FleetRecord(("m-pool-a-0",)))
+    machines.takeover.restore(FleetRecord(("m-pool-a-0",)), 0)
     world.run(1.5)
     movable = [
         row.machine.name for row in machines.movable_machines(world.clock())
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -17,7 +17,7 @@
 from cyclamenscale.jobs.coordinator import Coordinator, Ports
 from cyclamenscale.jobs.entry import restore_jobs
 from cyclamenscale.jobs.job_index import JobIndex
-from cyclamenscale.jobs.keys import LEADER, job_key
+from cyclamenscale.jobs.keys import LEADER, job_key, wave_key
 from cyclamenscale.jobs.model import (
     EndReport,
     JobRecord,
@@ -41,6 +41,7 @@
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
 from cyclamenscale.store.port import (
+    Compare,
     KeyValue,
     Put,
     RangeResult,
@@ -429,12 +430,16 @@
         """Take a machine down for maintenance."""
         return self.take_down(machine, "upkeep", ("upkeep", machine, wave))
 
-    def report_wave(self, wave, record, fence):
-        """Record a report."""
+    def report_wave(self, wave, record, fence, revision):
+        """Store a report."""
         self.reports.append(
             (wave, len(record.started), record.completion_reported)
         )
-        return settled()
+        key = wave_key(wave)
+        return self.world.store.txn(
+            [Compare(LEADER, fence), Compare(key, revision)],
+            [Put(key, encode_record(record))],
+        )
 
 
 class FakeLease:
