Soak: odd registrations, hopeless jobs, and jobs with nothing running

Change: two kinds of intrusion with a random source of their own, so that the other faults of a seed stay what they were; in calm, no accepted job has nothing running for 3 s while under half of its pool is in use.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -24,6 +24,10 @@
 #: Time after that until accepted jobs have ended, ``finish_s``.
 FINISH_S = 14.0
 
+#: Time for which a job may have nothing running in calm while under half of
+#: its pool is in use.
+STILL_S = 3.0
+
 #: A copy may start until this long after an end was acknowledged.
 COPY_SLACK_S = 1.0
 
@@ -36,6 +40,7 @@
 
     :ivar run_ms: how long a run takes until its end.
     :ivar failures: number of first runs of each task that fail.
+    :ivar label: label that its workers need.
     """
 
     count: int = 1
@@ -45,6 +50,7 @@
     failures: int = 0
     copies: bool = False
     lasts: bool = False
+    label: str = ""
 
 
 class JobPlan(NamedTuple):
@@ -58,6 +64,11 @@
     attempts: int
     steps: tuple[StepPlan, ...]
 
+    @property
+    def hopeless(self) -> bool:
+        """Return whether no worker has the labels that it needs."""
+        return any(step.label for step in self.steps)
+
     def tasks(self) -> list[str]:
         """Return the names of all tasks."""
         return [
@@ -119,6 +130,8 @@
         self.starts_s: dict[str, list[float]] = defaultdict(list)
         self.done: set[str] = set()
         self.done_noted_s: dict[str, float] = {}
+        #: When each job last had something running, or had to wait.
+        self.still_since_s: dict[str, float] = {}
         self.failures: Counter[str] = Counter()
         self.failures_noted_s: dict[str, list[float]] = defaultdict(list)
         self.unacknowledged: dict[str, list[UnacknowledgedEnd]] = defaultdict(
@@ -312,11 +325,31 @@
             for view in self.jobs.values():
                 if not view.accepted or view.cancel_sent:
                     continue
+                if view.plan.hopeless:
+                    continue
                 for task in view.plan.tasks():
                     _, step = self.plan_of(task)
                     if step.lasts and not self.running[task]:
                         self.report("LOST", f"{task} does not run")
 
+    def check_still(self, pool: str, used_share: float) -> None:
+        """Check that accepted jobs of a pool have something running.
+
+        :param used_share: share of the pool's processors that is in use.
+        """
+        with self.lock:
+            now_s = self.clock()
+            for job in self.open_jobs():
+                view = self.jobs[job]
+                if view.plan.pool != pool:
+                    continue
+                works = any(map(self.running.get, view.plan.tasks()))
+                if works or used_share >= 0.5:
+                    self.still_since_s[job] = now_s
+                since_s = self.still_since_s.setdefault(job, now_s)
+                if self.settled(STILL_S, since_s - STABILITY_S):
+                    self.report("LOST", f"{job} has nothing running")
+
     def check_rejected(self) -> None:
         """Check that no job ran whose every attempt was rejected."""
         with self.lock:
@@ -334,6 +367,7 @@
                 if view.accepted
                 and not view.completed_s
                 and not view.cancel_sent
+                and not view.plan.hopeless
                 and not any(step.lasts for step in view.plan.steps)
                 and not any(
                     self.failures[task] >= view.plan.attempts
--- a/test/soak/entries.py
+++ b/test/soak/entries.py
@@ -184,6 +184,7 @@
             "after": list(step.after),
             "speculative": step.copies,
             "long-running": step.lasts,
+            "required-label": step.label,
         }
         for step in plan.steps
     ]
--- a/test/soak/platform.py
+++ b/test/soak/platform.py
@@ -11,7 +11,7 @@
 
 from cyclamenscale.jobs.keys import LEADER
 from cyclamenscale.standin.http import HttpServer, json_response
-from cyclamenscale.standin.state import DeleteOp, RangeOp
+from cyclamenscale.standin.state import DeleteOp, PutOp, RangeOp
 from test.platform.standin import PlatformStandIn
 from test.soak.checker import Checker
 from test.soak.worker import Life, SoakWorker
@@ -31,6 +31,17 @@
 POOL_CPU = 4000
 ATTEMPTS = 3
 
+#: Records that name no worker, by kind.
+ODD_RECORDS = {
+    "nested": b"[" * 2000,
+    "large-number": b'{"service":"pool-a","address":"127.0.0.1:1","state":'
+    b'"ready","capacity":{"cpu":1' + b"0" * 400 + b"}}",
+    "large-port": b'{"service":"pool-a","address":"127.0.0.1:65536",'
+    b'"state":"ready","capacity":{"cpu":4000,"mem-mb":4096}}',
+    "nul-in-host": rb"""{"service":"pool-b","address":"127.0.0.1\u0000:1","""
+    rb""""state":"ready","capacity":{"cpu":4000,"mem-mb":4096}}""",
+}
+
 #: A route that only manifests with an odd version have.
 ODD_PREFIX = "/odd/"
 
@@ -123,6 +134,17 @@
                 if worker.up:
                     worker.advance()
 
+    def used_share(self, pool: str) -> float:
+        """Return the share of a pool's processors that is in use."""
+        with self.checker.lock:
+            workers = [
+                worker
+                for worker in self.soak_workers
+                if worker.pool == pool and worker.up
+            ]
+            used = sum(worker.used_cpu() for worker in workers)
+            return used / max(sum(worker.cpu for worker in workers), 1)
+
     def write_manifest(self) -> None:
         """Write the next version of the manifest, as operators do."""
         self.version += 1
@@ -152,6 +174,17 @@
         }
         self.write(f"servers/{worker.life.id}", body)
 
+    def write_odd_record(self, number: int, first: bool) -> None:
+        """Write a record of another writer among those of the workers.
+
+        :param number: determines its kind.
+        :param first: whether its key comes before those of the workers.
+        """
+        kinds = list(ODD_RECORDS)
+        kind = kinds[number % len(kinds)]
+        key = f"servers/{'a' if first else 'x'}-{kind}".encode()
+        self.state.transact([], [PutOp(key, ODD_RECORDS[kind], 0)], [])
+
     def remove_record(self, worker_id: str) -> None:
         """Remove a worker's registration."""
         delete = DeleteOp(f"servers/{worker_id}".encode())
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -22,11 +22,13 @@
     STABILITY_S,
     STOP_S,
     Checker,
+    JobPlan,
+    StepPlan,
 )
-from test.soak.entries import Caller, EntryProcess, call
-from test.soak.platform import ODD_PREFIX, SoakPlatform
+from test.soak.entries import Caller, EntryProcess, call, encode_job
+from test.soak.platform import ATTEMPTS, ODD_PREFIX, POOLS, SoakPlatform
 from test.soak.proxy import Link, Proxy
-from test.soak.schedule import LEADER, Fault, draw_faults
+from test.soak.schedule import LEADER, Fault, draw_faults, draw_intrusions
 
 #: Numbers the runs of this process.
 RUNS = count(1)
@@ -93,7 +95,12 @@
         self.seconds = seconds
         out.mkdir(parents=True, exist_ok=True)
         workers = max(6, entries // 3)
-        self.schedule = draw_faults(Random(seed), entries, workers, seconds)
+        self.schedule = sorted(
+            draw_faults(Random(seed), entries, workers, seconds)
+            + draw_intrusions(
+                Random(f"{seed}.intrusions"), entries, workers, seconds
+            )
+        )
         self.checker = Checker(monotonic)
         self.platform = SoakPlatform(
             self.checker, workers, 24 + 6 * entries, Random(seed)
@@ -201,6 +208,9 @@
                 if entry.restart_s <= monotonic():
                     self.note("started", entry=entry.name)
                     entry.start()
+        if self.checker.calm_s is not None:
+            for pool in POOLS:
+                self.checker.check_still(pool, self.platform.used_share(pool))
         self.pause.wait(TICK_S)
 
     def wait_for(
@@ -537,3 +547,25 @@
         worker.unhealthy = False
 
     return undo
+
+
+@injector("odd_record")
+def write_odd_record(soak: Soak, fault: Fault) -> None:
+    """Leave a record that names no worker among those of the workers."""
+    soak.platform.write_odd_record(fault.worker, fault.loses)
+
+
+@injector("hopeless_job")
+def submit_hopeless_job(soak: Soak, fault: Fault) -> None:
+    """Submit a job of lasting tasks that no worker can run."""
+    step = StepPlan(5, lasts=True, label="none")
+    number = next(soak.order)
+    pool = list(POOLS)[fault.worker % len(POOLS)]
+    plan = JobPlan(f"ffff{number:012x}", pool, ATTEMPTS, (step,))
+    soak.checker.record_attempt(plan)
+    entry = soak.entry_of(fault)
+    connection = HTTPConnection(entry.callers, timeout=0.5)
+    path = f"/{pool}/{plan.id}"
+    status, _ = call(connection, "POST", path, encode_job(plan))
+    connection.close()
+    soak.checker.record_response(plan.id, status)
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -33,6 +33,10 @@
     "worker_unhealthy": 1,
 }
 
+#: Kinds that are drawn apart from the faults: records of another writer among
+#: those of the workers, and jobs that can never be done.
+INTRUSIONS = ("odd_record", "hopeless_job")
+
 #: Faults of a series and time between them.
 SERIES_FAULTS = (2, 5)
 SERIES_INTERVAL_S = (0.05, 0.7)
@@ -108,3 +112,28 @@
                 found.append(fault)
             at_s += rng.uniform(*SERIES_INTERVAL_S)
     return sorted(found)
+
+
+def draw_intrusions(
+    rng: Random, entries: int, workers: int, seconds: float
+) -> list[Fault]:
+    """Draw odd records and hopeless jobs, in the order of their begin.
+
+    They have a random source of their own, so that the other faults of a
+    seed stay what they were.
+    """
+    found = []
+    for kind in INTRUSIONS:
+        for _ in range(rng.randint(0, 2)):
+            fault = Fault(
+                round(rng.uniform(0.0, seconds), 3),
+                kind,
+                rng.randrange(entries),
+                rng.randrange(workers),
+                0.0,
+                (),
+                rng.random() < 0.5,
+                0.0,
+            )
+            found.append(fault)
+    return sorted(found)
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -5,7 +5,12 @@
 import pytest
 
 from test.soak.run import INJECTORS, Soak
-from test.soak.schedule import KIND_WEIGHTS, draw_faults
+from test.soak.schedule import (
+    INTRUSIONS,
+    KIND_WEIGHTS,
+    draw_faults,
+    draw_intrusions,
+)
 
 #: Some of the seeds that ever failed; ``--seeds failed`` runs all of them.
 SEEDS = (5, 9, 10, 30)
@@ -33,6 +38,8 @@
 
 def test_every_kind_of_fault_can_be_injected():
     """Guards against kinds of faults that are never drawn."""
-    assert set(INJECTORS) == set(KIND_WEIGHTS)
+    assert set(INJECTORS) == set(KIND_WEIGHTS) | set(INTRUSIONS)
     drawn = draw_faults(Random(1), 4, 6, 1000.0)
     assert {fault.kind for fault in drawn} == set(KIND_WEIGHTS)
+    intrusions = draw_intrusions(Random(1), 4, 6, 1000.0)
+    assert {fault.kind for fault in intrusions} <= set(INTRUSIONS)
