Let a pool work on while all its machines wait for maintenance

Cause: workers of machines that are to be maintained take no tasks. If these are all workers of a pool, the lasting task that is moved off one has nowhere to run, its step tolerates no further interruption, so that no machine may be taken down, and all other jobs of the pool stand still.

Change: a worker that is to be maintained serves while no other worker of its pool takes tasks, unless its machine can be taken down now.

Before: 6 of 6 new tests of test/jobs/test_machines.py failed. After: all pass; the waves of pools of 2 and 4 are carried out, with no violation.

--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -221,12 +221,17 @@
             # The order was carried out although its response was lost.
             self.record_carried_out(operation)
             return
-        if not self.takeover.may_order(name, now_s):
-            return
-        if operation.wave and not operation.ordered:
-            if not self.waves.may_begin(operation.wave):
-                return
         worker = self.worker_of(operation.machine)
+        allowed = self.takeover.may_order(name, now_s) and (
+            not operation.wave
+            or operation.ordered
+            or self.waves.may_begin(operation.wave)
+        )
+        if self.must_serve(operation, worker, allowed, now_s):
+            worker.cordon_reason = ""
+            return
+        if not allowed:
+            return
         if operation.ordered:
             self.order(operation, now_s)
             return
@@ -249,6 +254,32 @@
         ):
             self.abandon(operation, "it did not become empty")
 
+    def must_serve(
+        self,
+        operation: Operation,
+        worker: Worker | None,
+        allowed: bool,
+        now_s: float,
+    ) -> bool:
+        """Return whether a worker that is to be maintained serves meanwhile.
+
+        That is so while no other worker of its pool takes tasks, unless it
+        can be taken down now: tasks that wait, among them the ones that are
+        moved off other workers of the pool, would have nowhere to run.
+
+        :param allowed: whether the order may be sent now.
+        """
+        if not operation.wave or operation.ordered or worker is None:
+            return False
+        if worker.terminated or (allowed and self.may_interrupt(worker)):
+            return False
+        return not any(
+            other is not worker
+            and other.record.pool == worker.record.pool
+            and self.placement.accepts_tasks(other, now_s)
+            for other in self.state.workers.values()
+        )
+
     def may_take_down(
         self, operation: Operation, worker: Worker, now_s: float
     ) -> bool:
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -1,5 +1,7 @@
 """Tests of the maintenance and the moves of machines."""
 
+import pytest
+
 from cyclamenscale.errors import CallUnansweredError
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.capacity import DemandPeak
@@ -386,3 +388,67 @@
     state = world.coordinator.state
     movable = world.coordinator.machines.movable_machines(world.clock())
     assert len(movable) == len(state.workers) == 8
+
+
+@pytest.mark.parametrize(
+    ("workers", "tasks", "limit"),
+    [(1, 2, 1), (2, 2, 1), (2, 5, 1), (2, 5, 2), (4, 5, 4)],
+)
+def test_a_pool_works_on_while_its_machines_wait_for_maintenance(
+    workers, tasks, limit
+):
+    """Guards against a pool whose workers are all being emptied at once.
+
+    The long-running tasks that are moved off one of them have nowhere to
+    run, so that none of the machines can be taken down, and all other jobs
+    stand still.
+    """
+    world = World(workers=workers)
+    world.lead()
+    world.run()
+    step = LONG_RUNNING._replace(count=tasks, max_per_worker=0)
+    world.submit("long", step)
+    world.run(1.0)
+    assert len(world.running("long")) == tasks
+    request_wave(world, *sorted(world.machines.machines), limit=limit)
+    world.run(0.5)
+    for number in range(20):
+        world.submit(f"s{number}", Step(1, Resources(1.0, 1.0), 300.0))
+        world.run(0.5)
+        assert world.running(f"s{number}.")
+        world.finish(f"s{number}.")
+        restart_maintained(world)
+    assert not world.violations
+    if workers > 1:
+        assert len(world.machines.orders) == workers
+
+
+def restart_maintained(world):
+    """End the maintenance of all machines, each with a new worker."""
+    for name, machine in list(world.machines.machines.items()):
+        if not machine.up:
+            worker = f"{name.removeprefix('m-')}-{len(world.machines.orders)}"
+            added = world.add_worker(worker)
+            world.machines.machines.pop(f"m-{worker}")
+            added.entry = added.entry._replace(machine=name)
+            world.machines.machines[name] = machine._replace(
+                up=True, state="up", worker=worker
+            )
+            world.coordinator.register_worker(added.entry)
+
+
+def test_a_machine_that_waits_for_its_turn_serves_meanwhile():
+    """Guards against an idle worker while another machine is maintained.
+
+    One machine more than may be down is emptied in advance; here it is the
+    last of its pool.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    request_wave(world, *sorted(world.machines.machines), limit=1)
+    world.run(1.0)
+    assert len(world.machines.orders) == 1
+    world.submit("s1", Step(1, Resources(1.0, 1.0), 300.0))
+    world.run(0.2)
+    assert world.running("s1")
