Give a restarted worker no task that needs its old labels

Cause: a poll that shows the new incarnation copied the registration of the earlier one, labels included.

Change: the labels of the new incarnation are unknown until it registers. Tasks without a label start there at once, as before. Its capacity is still that of the earlier one until then: open for pools that don't guard it.

Before: test_a_restarted_worker_of_another_kind_gets_no_task_of_its_old_kind failed. After: it passes.

--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -260,9 +260,10 @@
             worker.terminated = True
             registry = self.state.registry
             if worker.id in registry:
-                record = registry[worker.id]
-                registry[worker.id] = record._replace(
-                    started_ms=report.started_ms
+                # The new incarnation may be of another kind. Its labels are
+                # unknown until it has registered.
+                registry[worker.id] = registry[worker.id]._replace(
+                    started_ms=report.started_ms, labels=()
                 )
             return
         worker.record_clock(report.clock_ms, now_s)
--- a/test/jobs/test_coordinator.py
+++ b/test/jobs/test_coordinator.py
@@ -974,6 +974,30 @@
     assert not world.violations
 
 
+def test_a_restarted_worker_of_another_kind_gets_no_task_of_its_old_kind():
+    """Guards against a start on a worker without the label it needs.
+
+    A worker crashes and comes back under its id with another label; polls
+    show the restart before its registration does.
+    """
+    world = World(workers=1)
+    world.lead()
+    world.run()
+    worker = world.workers.workers["pool-a-0"]
+    restart(world, worker)
+    world.renew_registrations = lambda: None
+    world.run(0.5)
+    labelled = SMALL._replace(label="a")
+    world.submit("j1", labelled)
+    world.submit("j2", SMALL)
+    world.run(0.5)
+    assert not world.running("j1")
+    assert world.running("j2")
+    world.coordinator.register_worker(worker.entry)
+    world.run(0.5)
+    assert world.running("j1")
+
+
 def test_a_start_on_a_later_incarnation_is_not_dropped_with_the_earlier():
     """Guards against a second run beside one on a worker that restarted.
 
