Soak: look for jobs with nothing running twenty times a second

Trace: the leader's log of the run has job.waiting with "no room" on all three workers of the pool, and 2.5 to 4.0 of 4.0 processors allocated on each, task after task, all the while. The check looked only between two rounds of state calls, a second and more apart, and two looks in a row found a pool between two tasks.

Change: the platform's thread checks every 50 ms, and a gap of over 0.3 s between two checks starts the 3 s anew. Four tests: the check fails for an idle pool, and not for a busy one, a gap, or a job that can't be done.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -28,6 +28,9 @@
 #: its pool is in use.
 STILL_S = 3.0
 
+#: Longest time between two checks that see what happens between them.
+STILL_GAP_S = 0.3
+
 #: A copy may start until this long after an end was acknowledged.
 COPY_SLACK_S = 1.0
 
@@ -132,6 +135,8 @@
         self.done_noted_s: dict[str, float] = {}
         #: When each job last had something running, or had to wait.
         self.still_since_s: dict[str, float] = {}
+        #: When the jobs of each pool were last checked for that.
+        self.still_checked_s: dict[str, float] = {}
         self.failures: Counter[str] = Counter()
         self.failures_noted_s: dict[str, list[float]] = defaultdict(list)
         self.unacknowledged: dict[str, list[UnacknowledgedEnd]] = defaultdict(
@@ -335,16 +340,23 @@
     def check_still(self, pool: str, used_share: float) -> None:
         """Check that accepted jobs of a pool have something running.
 
+        Call it often: what happens between two calls that are far apart is
+        not known, and the time before counts for nothing then.
+
         :param used_share: share of the pool's processors that is in use.
         """
+        if self.calm_s is None:
+            return
         with self.lock:
             now_s = self.clock()
+            gap_s = now_s - self.still_checked_s.get(pool, now_s)
+            self.still_checked_s[pool] = now_s
             for job in self.open_jobs():
                 view = self.jobs[job]
                 if view.plan.pool != pool:
                     continue
                 works = any(map(self.running.get, view.plan.tasks()))
-                if works or used_share >= 0.5:
+                if works or used_share >= 0.5 or gap_s > STILL_GAP_S:
                     self.still_since_s[job] = now_s
                 since_s = self.still_since_s.setdefault(job, now_s)
                 if self.settled(STILL_S, since_s - STABILITY_S):
--- a/test/soak/platform.py
+++ b/test/soak/platform.py
@@ -21,6 +21,9 @@
 #: Interval at which leases and runs end that are due.
 TICK_S = 0.01
 
+#: Ticks between two checks for jobs that have nothing running.
+STILL_TICKS = 5
+
 #: Threads for the calls of a coordinator, and of others that were replaced.
 WORKER_THREADS = 12
 
@@ -123,9 +126,14 @@
 
     def tick(self) -> None:
         """End leases and runs that are due."""
-        while not self.stopped.wait(TICK_S):
+        for number in count():
+            if self.stopped.wait(TICK_S):
+                return
             self.state.expire_due_leases()
             self.advance_workers()
+            if number % STILL_TICKS == 0:
+                for pool in POOLS:
+                    self.checker.check_still(pool, self.used_share(pool))
 
     def advance_workers(self) -> None:
         """End the runs that are due on all workers."""
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -208,9 +208,6 @@
                 if entry.restart_s <= monotonic():
                     self.note("started", entry=entry.name)
                     entry.start()
-        if self.checker.calm_s is not None:
-            for pool in POOLS:
-                self.checker.check_still(pool, self.platform.used_share(pool))
         self.pause.wait(TICK_S)
 
     def wait_for(
--- a/test/soak/test_checker.py
+++ b/test/soak/test_checker.py
@@ -207,3 +207,40 @@
     history.start(rejected.tasks()[0])
     history.check_rejected()
     assert history.rules() == ["REFUSED"]
+
+
+def check_still(history, used_share, interval_s=0.1, for_s=4.0):
+    """Check a pool again and again in calm; return the broken rules."""
+    history.become_calm(0.0)
+    for _ in range(round(for_s / interval_s)):
+        history.clock.advance(interval_s)
+        history.check_still("pool-a", used_share)
+        history.check_still("pool-b", 0.0)
+    return set(history.rules())
+
+
+def test_a_job_that_has_nothing_running(history):
+    """Guards against accepted jobs that wait beside idle workers."""
+    assert check_still(history, 0.4) == {"LOST"}
+
+
+def test_a_job_that_waits_for_room(history):
+    """Guards against a check that fails while a pool works off its queue."""
+    assert check_still(history, 0.5) == set()
+
+
+def test_a_job_that_is_seen_too_seldom(history):
+    """Guards against a check that takes two glances for all that passes."""
+    assert check_still(history, 0.4, interval_s=1.0, for_s=10.0) == set()
+
+
+def test_a_hopeless_job_may_wait(history):
+    """Guards against a check that wants the impossible."""
+    for job in list(history.jobs):
+        del history.jobs[job]
+    plan = JobPlan("d" * 16, "pool-a", 2, (StepPlan(label="none"),))
+    history.record_attempt(plan)
+    history.record_response(plan.id, 200)
+    assert check_still(history, 0.0) == set()
+    history.check_lasting()
+    assert not history.rules()
