Fill workers on probation to half where most of a pool are on probation

Cause: jobs that always fail put sound workers on probation, and a worker on probation runs one short task at a time. If that hits most workers of a pool, other jobs wait beside idle workers.

Change: where under half of a pool's candidates are sound, the others may be filled to half; failures on most workers are more likely the fault of the tasks.

Before: both forms of test_a_pool_whose_workers_are_on_probation_is_used_to_half failed. After: they pass, and two failing workers of four are tested with one task as before. test_a_worker_on_probation_with_a_long_running_task_is_tried asked for one task at a time in a pool of one worker, which is this fault; it asks the same now in a pool of two whose other worker is sound and full.

--- a/cyclamenscale/jobs/candidates.py
+++ b/cyclamenscale/jobs/candidates.py
@@ -19,10 +19,12 @@
     :ivar worker: the worker.
     :ivar on_probation: whether only one short task at a time may run on it,
         to test a worker that is slow or whose runs have failed.
+    :ivar fills_to_half: whether, on probation, it may be filled to half.
     """
 
     worker: Worker
     on_probation: bool
+    fills_to_half: bool = False
 
 
 class Entry(NamedTuple):
@@ -105,6 +107,18 @@
         insort(self.group_of(worker), entry)
 
 
+def relax_probation(candidates: list[Candidate]) -> list[Candidate]:
+    """Let workers on probation be filled to half if most of a pool are.
+
+    Failures on most of its workers are more likely the fault of the tasks,
+    and a pool that tests each worker with one task would be nearly idle.
+    """
+    sound = sum(not candidate.on_probation for candidate in candidates)
+    if 2 * sound >= len(candidates):
+        return candidates
+    return [found._replace(fills_to_half=True) for found in candidates]
+
+
 def position(worker: Worker) -> Entry:
     """Return the position of a worker among the candidates."""
     return Entry(1 - worker.free_share, worker.id)
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -14,6 +14,7 @@
     Candidate,
     Candidates,
     is_suspicious,
+    relax_probation,
 )
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.job_orders import find_order
@@ -166,7 +167,10 @@
             found = by_pool.get(worker.record.pool)
             if found is not None and self.accepts_tasks(worker, now_s):
                 found.append(self.candidate(worker))
-        return {pool: Candidates(found) for pool, found in by_pool.items()}
+        return {
+            pool: Candidates(relax_probation(found))
+            for pool, found in by_pool.items()
+        }
 
     def candidate(self, worker: Worker) -> Candidate:
         """Return a worker as a candidate."""
@@ -267,7 +271,8 @@
         if worker.orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
             return "orders in flight"
         if candidate.on_probation and has_short_run(worker):
-            return "on probation"
+            if not candidate.fills_to_half or worker.free_share <= 0.5:
+                return "on probation"
         if spec.label and spec.label not in worker.record.labels:
             return "label"
         if not worker.has_capacity(spec.need, spec.best_effort):
