Soak: waves, moves and lasting jobs; count the bound of idle jobs rightly

A job whose tasks have all run, and whose caller has not asked since, was taken as idle too.

New: the stand-ins serve the machine list, maintenance and moves; the soak requests waves of a whole pool and submits steps of several lasting tasks of which one may be away, and checks that no order takes a second one away (AVAIL). A lasting task may be away for 6 s.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -28,6 +28,9 @@
 #: its pool is in use.
 STILL_S = 3.0
 
+#: Time after which a task that lasts runs again.
+LASTING_AWAY_S = 6.0
+
 #: Longest time between two checks that see what happens between them.
 STILL_GAP_S = 0.3
 
@@ -44,6 +47,8 @@
     :ivar run_ms: how long a run takes until its end.
     :ivar failures: number of first runs of each task that fail.
     :ivar label: label that its workers need.
+    :ivar max_away: number of its tasks that may be interrupted at once, 0
+        for any.
     """
 
     count: int = 1
@@ -54,6 +59,7 @@
     copies: bool = False
     lasts: bool = False
     label: str = ""
+    max_away: int = 0
 
 
 class JobPlan(NamedTuple):
@@ -135,6 +141,8 @@
         self.done_noted_s: dict[str, float] = {}
         #: When each job last had something running, or had to wait.
         self.still_since_s: dict[str, float] = {}
+        #: When a run of each task last ended.
+        self.stopped_s: dict[str, float] = {}
         #: When the jobs of each pool were last checked for that.
         self.still_checked_s: dict[str, float] = {}
         self.failures: Counter[str] = Counter()
@@ -264,6 +272,7 @@
         """Record the end of a run."""
         with self.lock:
             self.running[task].remove(life)
+            self.stopped_s[task] = self.clock()
             self.unacknowledged[life].append(
                 UnacknowledgedEnd(number, task, outcome, self.clock())
             )
@@ -308,9 +317,10 @@
         """Record that a worker's incarnation ended, and all its runs."""
         with self.lock:
             self.unacknowledged.pop(life, None)
-            for lives in self.running.values():
+            for task, lives in self.running.items():
                 while life in lives:
                     lives.remove(life)
+                    self.stopped_s[task] = self.clock()
 
     # After the faults.
 
@@ -324,9 +334,30 @@
                 if self.settled(CANCEL_S + STOP_S, view.cancelled_s):
                     self.report("UNASKED", f"{task} runs on at {lives}")
 
+    def check_interrupted(self, life: str) -> None:
+        """Check that a worker may be taken down with what runs on it."""
+        with self.lock:
+            for task, lives in list(self.running.items()):
+                view, step = self.plan_of(task)
+                if life not in lives or not step or not step.max_away:
+                    continue
+                if view.cancel_sent:
+                    continue
+                prefix = task.rpartition(".")[0]
+                away = sum(
+                    not self.running[f"{prefix}.{index}"]
+                    for index in range(step.count)
+                )
+                if away >= step.max_away:
+                    self.report("AVAIL", f"{task} at {life}, {away} away")
+
     def check_lasting(self) -> None:
-        """Check that accepted tasks that last are running."""
+        """Check that accepted tasks that last are running.
+
+        One that was interrupted may take some seconds to run elsewhere.
+        """
         with self.lock:
+            now_s = self.clock()
             for view in self.jobs.values():
                 if not view.accepted or view.cancel_sent:
                     continue
@@ -334,8 +365,10 @@
                     continue
                 for task in view.plan.tasks():
                     _, step = self.plan_of(task)
+                    away_s = now_s - self.stopped_s.get(task, 0.0)
                     if step.lasts and not self.running[task]:
-                        self.report("LOST", f"{task} does not run")
+                        if away_s > LASTING_AWAY_S:
+                            self.report("LOST", f"{task} does not run")
 
     def check_still(self, pool: str, used_share: float) -> None:
         """Check that accepted jobs of a pool have something running.
@@ -355,11 +388,14 @@
                 view = self.jobs[job]
                 if view.plan.pool != pool:
                     continue
+                if self.done.issuperset(view.plan.tasks()):
+                    # It has run; its caller has not been told yet.
+                    continue
                 works = any(map(self.running.get, view.plan.tasks()))
                 if works or used_share >= 0.5 or gap_s > STILL_GAP_S:
                     self.still_since_s[job] = now_s
                 since_s = self.still_since_s.setdefault(job, now_s)
-                if self.settled(STILL_S, since_s - STABILITY_S):
+                if self.settled(STILL_S, since_s):
                     self.report("LOST", f"{job} has nothing running")
 
     def check_rejected(self) -> None:
--- a/test/soak/entries.py
+++ b/test/soak/entries.py
@@ -185,6 +185,7 @@
             "speculative": step.copies,
             "long-running": step.lasts,
             "required-label": step.label,
+            "max-unavailable": step.max_away,
         }
         for step in plan.steps
     ]
--- a/test/soak/platform.py
+++ b/test/soak/platform.py
@@ -21,6 +21,10 @@
 #: Interval at which leases and runs end that are due.
 TICK_S = 0.01
 
+#: Time for which a machine is down: ``maintenance-s`` and ``migrate-s``.
+MAINTENANCE_S = 2.0
+MOVE_S = 1.5
+
 #: Ticks between two checks for jobs that have nothing running.
 STILL_TICKS = 5
 
@@ -91,6 +95,11 @@
         self.refused: set[str] = set()
         self.stopped = Event()
         self.lives = count(1)
+        self.waves = count(1)
+        #: Numbers of the workers that were maintained, by wave.
+        self.maintained: dict[int, set[int]] = {}
+        #: State of machines that were taken down, and when they come back.
+        self.taken_down: dict[int, tuple[str, float]] = {}
         self.version = 0
         self.soak_workers: list[SoakWorker] = []
         self.worker_servers: list[HttpServer] = []
@@ -142,6 +151,81 @@
                 if worker.up:
                     worker.advance()
 
+    def list_machines(self) -> Response:
+        """Return the machines, one for each worker."""
+        with self.checker.lock:
+            rows = [
+                {
+                    "machine": f"m-{number}",
+                    "pool": worker.pool,
+                    "state": self.machine_state(number),
+                    "labels": ["a", f"rack-{number % 3}"],
+                    "id": worker.life.id if worker.up else "",
+                }
+                for number, worker in enumerate(self.soak_workers)
+            ]
+        return json_response({"machines": rows, "next-token": None})
+
+    def machine_state(self, number: int) -> str:
+        """Return the state of a machine."""
+        if self.soak_workers[number].up:
+            return "up"
+        return self.taken_down.get(number, ("down", 0.0))[0]
+
+    def order_machine(self, path: str, body: dict) -> Response:
+        """Maintain or move a machine, which comes back by itself."""
+        number = int(body["machine"].removeprefix("m-"))
+        worker = self.soak_workers[number]
+        with self.checker.lock:
+            moves = path == "/machine-move"
+            done = self.maintained.setdefault(body.get("wave", 0), set())
+            if worker.pool == body["pool"] if moves else number in done:
+                return json_response({})
+            if not worker.up:
+                return json_response({"reason": "busy"}, 409)
+            self.checker.check_interrupted(str(worker.life))
+            ended = worker.life.id
+            worker.end_life()
+            if moves:
+                worker.pool = body["pool"]
+                worker.guarded = POOLS[worker.pool]
+                state, away_s = "moving", MOVE_S
+            else:
+                done.add(number)
+                state, away_s = "upkeep", MAINTENANCE_S
+            self.taken_down[number] = (state, self.checker.clock() + away_s)
+        self.remove_record(ended)
+        return json_response({})
+
+    def due_machines(self) -> list[int]:
+        """Return the machines that come back now."""
+        with self.checker.lock:
+            now_s = self.checker.clock()
+            due = [
+                number
+                for number, (_, due_s) in self.taken_down.items()
+                if due_s <= now_s
+            ]
+            for number in due:
+                del self.taken_down[number]
+        return due
+
+    def request_wave(self, pool: str, limit: int) -> None:
+        """Request the maintenance of all machines of a pool."""
+        wave = next(self.waves)
+        machines = [
+            f"m-{number}"
+            for number, worker in enumerate(self.soak_workers)
+            if worker.pool == pool
+        ]
+        body = {
+            "wave": wave,
+            "machines": machines,
+            "duration-s": 30,
+            "max-count": limit,
+        }
+        self.write(f"op/wave/{wave}", body)
+
     def used_share(self, pool: str) -> float:
         """Return the share of a pool's processors that is in use."""
         with self.checker.lock:
@@ -207,6 +291,11 @@
         """Serve one request to the store or about machines."""
         if request.remote_addr in self.refused:
             return json_response({}, 503)
+        if request.path == "/machines":
+            return self.list_machines()
+        if request.path in ("/machine-upkeep", "/machine-move"):
+            body = json.decode(request.get_data())
+            return self.order_machine(request.path, body)
         response = super().handle(request)
         if request.args.get("prefix", "").startswith("servers/"):
             return translate(response, request.remote_addr)
--- a/test/soak/run.py
+++ b/test/soak/run.py
@@ -199,6 +199,8 @@
         """Do what is due and restart processes that have ended."""
         while self.actions and self.actions[0][0] <= monotonic():
             heappop(self.actions)[2]()
+        for number in self.platform.due_machines():
+            self.begin_life(number)
         for entry in self.entries:
             if entry.process and not entry.running:
                 if entry.has_failed():
@@ -555,10 +557,22 @@
 @injector("hopeless_job")
 def submit_hopeless_job(soak: Soak, fault: Fault) -> None:
     """Submit a job of lasting tasks that no worker can run."""
-    step = StepPlan(5, lasts=True, label="none")
-    number = next(soak.order)
+    submit_lasting(soak, fault, StepPlan(5, lasts=True, label="none"))
+
+
+@injector("lasting_job")
+def submit_lasting_job(soak: Soak, fault: Fault) -> None:
+    """Submit a job of tasks that last, few of which may be interrupted."""
+    step = StepPlan(
+        2 + fault.worker % 4, 250, run_ms=10**9, lasts=True, max_away=1
+    )
+    submit_lasting(soak, fault, step)
+
+
+def submit_lasting(soak: Soak, fault: Fault, step: StepPlan) -> None:
+    """Submit a job of one step, once."""
     pool = list(POOLS)[fault.worker % len(POOLS)]
-    plan = JobPlan(f"ffff{number:012x}", pool, ATTEMPTS, (step,))
+    plan = JobPlan(f"ffff{next(soak.order):012x}", pool, ATTEMPTS, (step,))
     soak.checker.record_attempt(plan)
     entry = soak.entry_of(fault)
     connection = HTTPConnection(entry.callers, timeout=0.5)
@@ -566,3 +580,10 @@
     status, _ = call(connection, "POST", path, encode_job(plan))
     connection.close()
     soak.checker.record_response(plan.id, status)
+
+
+@injector("wave")
+def request_wave(soak: Soak, fault: Fault) -> None:
+    """Request the maintenance of all machines of a pool."""
+    pool = list(POOLS)[fault.worker % len(POOLS)]
+    soak.platform.request_wave(pool, 1 + fault.worker // 3)
--- a/test/soak/schedule.py
+++ b/test/soak/schedule.py
@@ -34,8 +34,9 @@
 }
 
 #: Kinds that are drawn apart from the faults: records of another writer among
-#: those of the workers, and jobs that can never be done.
-INTRUSIONS = ("odd_record", "hopeless_job")
+#: those of the workers, jobs that can never be done, steps of several tasks
+#: that last, and maintenance of all machines of a pool.
+INTRUSIONS = ("odd_record", "hopeless_job", "lasting_job", "wave")
 
 #: Faults of a series and time between them.
 SERIES_FAULTS = (2, 5)
--- a/test/soak/test_checker.py
+++ b/test/soak/test_checker.py
@@ -209,7 +209,7 @@
     assert history.rules() == ["REFUSED"]
 
 
-def check_still(history, used_share, interval_s=0.1, for_s=4.0):
+def check_still(history, used_share, interval_s=0.1, for_s=7.0):
     """Check a pool again and again in calm; return the broken rules."""
     history.become_calm(0.0)
     for _ in range(round(for_s / interval_s)):
@@ -244,3 +244,24 @@
     assert check_still(history, 0.0) == set()
     history.check_lasting()
     assert not history.rules()
+
+
+def test_a_job_that_has_run_waits_for_nothing(history):
+    """Guards against a check that takes a job for idle before it is read."""
+    for task in (*JOB.tasks(), *COPIES.tasks()):
+        history.start(task)
+        history.end(task)
+    assert check_still(history, 0.0) == set()
+
+
+def test_a_job_that_waits_for_less_than_the_bound(history):
+    """Guards against a check that counts from the end of the faults."""
+    assert check_still(history, 0.5, for_s=20.0) == set()
+    for _ in range(25):
+        history.clock.advance(0.1)
+        history.check_still("pool-a", 0.0)
+    assert not history.rules()
+    for _ in range(10):
+        history.clock.advance(0.1)
+        history.check_still("pool-a", 0.0)
+    assert set(history.rules()) == {"LOST"}
