Count lasting tasks that may serve by now before a machine goes down

Cause: a run counted as interrupted only if its latest report had it serving. One that has just started may be at work since. Fresh runs on a machine that is about to be taken down were rare, since it takes no tasks; with the last machine of a pool takes those of the others while it waits for its own maintenance.

Change: every long-running task on the machine that is not being stopped counts. Tasks are moved off one by one as before, once their reports show that they serve.

Before: test_tasks_that_moved_to_a_serving_machine_are_moved_off_again failed: the second machine was ordered within 1 s, with all four tasks on it. After: it passes, and both machines are maintained.

--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -26,6 +26,7 @@
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
 from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.takeover import Takeover
 from cyclamenscale.jobs.waves import MaintenanceWaves
 from cyclamenscale.jobs.worker import RUNNING, STOPPING, Worker
@@ -229,6 +230,8 @@
         )
         if self.must_serve(operation, worker, allowed, now_s):
             worker.cordon_reason = ""
+            # Short tasks that start meanwhile get the whole time to end.
+            operation.started_s = now_s
             return
         if not allowed:
             return
@@ -318,19 +321,20 @@
                 self.orders.stop(run, "its machine is being emptied")
 
     def may_interrupt(self, worker: Worker) -> bool:
-        """Return whether a worker's long-running tasks may be interrupted."""
-        serving_here: dict = {}
+        """Return whether a worker's long-running tasks may be interrupted.
+
+        A task that was not serving in the latest report may serve by now.
+        """
+        here: dict[StepState, set[Task]] = {}
         for run in worker.runs.values():
-            if run.task and run.task.step.spec.long_running:
-                step = run.task.step
-                serving_here[step] = serving_here.get(step, 0) + bool(
-                    run.serving
-                )
+            task = run.task
+            if task and task.step.spec.long_running and run.phase != STOPPING:
+                here.setdefault(task.step, set()).add(task)
         return all(
             not step.spec.max_unavailable
-            or step.count_unavailable() + here <= step.spec.max_unavailable
-            or not here
-            for step, here in serving_here.items()
+            or len(tasks) + count_away(step, tasks)
+            <= step.spec.max_unavailable
+            for step, tasks in here.items()
         )
 
     def order(self, operation: Operation, now_s: float) -> None:
@@ -583,3 +587,12 @@
                 for run in worker.runs.values()
             )
         )
+
+
+def count_away(step: StepState, excluded: set[Task]) -> int:
+    """Return how many tasks of a step, of all but some, don't serve."""
+    return sum(
+        not any(run.serving for run in task.runs)
+        for task in step.tasks
+        if task not in excluded
+    )
--- a/test/jobs/test_machines.py
+++ b/test/jobs/test_machines.py
@@ -452,3 +452,35 @@
     world.submit("s1", Step(1, Resources(1.0, 1.0), 300.0))
     world.run(0.2)
     assert world.running("s1")
+
+
+def test_tasks_that_moved_to_a_serving_machine_are_moved_off_again():
+    """Guards against an order that ends tasks which have just started.
+
+    The last machine of a pool takes the long-running tasks of the others
+    while it waits for its own maintenance. Their progress is reported late,
+    and they may be serving by the time the order is sent.
+    """
+    world = World(workers=2)
+    world.lead()
+    world.run()
+    world.submit("long", LONG_RUNNING._replace(count=4, max_per_worker=0))
+    world.run(1.0)
+    request_wave(world, *sorted(world.machines.machines), limit=1)
+    while not world.machines.orders:
+        world.run(0.05)
+    taken_down = world.machines.orders[0][1]
+    world.run(2.0)
+    moved = world.running("long")
+    assert len(moved) == 4
+    for task, _, _ in moved:
+        world.reported_percent[task] = 50.0
+    restart_maintained(world)
+    world.run(1.0)
+    assert [order[1] for order in world.machines.orders] == [taken_down]
+    world.reported_percent.clear()
+    for _ in range(20):
+        world.run(0.5)
+        restart_maintained(world)
+    assert len(world.machines.orders) == 2
+    assert not world.violations
