--- a/review/second/standin_store.py
+++ b/review/second/standin_store.py
@@ -18,6 +18,8 @@
     """Keys with revisions, leases and watches; loses nothing.
 
     :ivar refused: source addresses of entries that it turns away with 503.
+    :ivar down_since_s: since when it is down and answers 503 to all, 0 if it
+        is up; leases pause meanwhile.
     """
 
     def __init__(self):
@@ -29,6 +31,7 @@
         self.leases: dict[int, list[float]] = {}
         self.next_lease = 1
         self.refused: set[str] = set()
+        self.down_since_s = 0.0
         self.server = Server(self.handle)
         threading.Thread(target=self.expire_leases, daemon=True).start()
 
@@ -39,7 +42,7 @@
 
     def handle(self, method, target, headers, body, source) -> Reply:
         """Serve one call."""
-        if source in self.refused:
+        if source in self.refused or self.down_since_s:
             return Reply(503, {})
         url = urlsplit(target)
         query = {name: found[0] for name, found in parse_qs(url.query).items()}
@@ -140,10 +143,20 @@
                 self.history.append(event)
         self.changed.notify_all()
 
+    def set_down(self, down: bool) -> None:
+        """Begin or end an outage, in which leases pause."""
+        with self.changed:
+            now_s = time.monotonic()
+            if not down:
+                for lease in self.leases.values():
+                    lease[1] += now_s - self.down_since_s
+            self.down_since_s = now_s if down else 0.0
+
     def write(self, key: str, value: str) -> None:
-        """Write a key as the operator or a worker does."""
+        """Write a key as the operator or a worker does, if it is up."""
         with self.changed:
-            self.apply([{"key": key, "value": value}], [])
+            if not self.down_since_s:
+                self.apply([{"key": key, "value": value}], [])
 
     def remove(self, key: str) -> None:
         """Remove a key as the platform does."""
@@ -178,7 +191,6 @@
             time.sleep(LEASE_TICK_S)
             now_s = time.monotonic()
             with self.changed:
-                due = [n for n, (_, end_s) in self.leases.items()]
-                for lease in due:
-                    if self.leases[lease][1] <= now_s:
+                for lease, (_, end_s) in list(self.leases.items()):
+                    if end_s <= now_s and not self.down_since_s:
                         self.end_lease(lease)
--- a/review/second/standin_worker.py
+++ b/review/second/standin_worker.py
@@ -30,12 +30,14 @@
     :ivar cpu: thousandths of a core.
     :ivar outcome: how it ends by itself.
     :ivar lasts: whether it runs until it is stopped.
+    :ivar until_s: the time before which it doesn't end, 0 for none.
     """
 
     run_s: float
     cpu: int = 1000
     outcome: str = "done"
     lasts: bool = False
+    until_s: float = 0.0
 
 
 class Run:
@@ -45,14 +47,15 @@
         """Begin a run."""
         self.work = work
         self.began_s = now_s
-        self.end_s = now_s + work.run_s
+        self.end_s = max(now_s + work.run_s, work.until_s)
         self.outcome = work.outcome
 
     def percent(self, now_s: float) -> int:
         """Return its progress."""
         if self.work.lasts:
             return 100
-        share = (now_s - self.began_s) / max(self.work.run_s, 0.001)
+        planned_s = max(self.end_s - self.began_s, 0.001)
+        share = (now_s - self.began_s) / planned_s
         return int(min(99, 100 * share))
 
 
@@ -98,6 +101,10 @@
         self.ends: list[list] = []
         self.ends_count = 0
         self.sequence = 0
+        #: When the end of a run was taken note of, by task and number.
+        self.noted_s: dict[tuple[str, int], float] = {}
+        #: When the lease was found to have lapsed.
+        self.lapses_s: list[float] = []
         #: Times of the runs: task, run, start, end or None, outcome.
         self.history: list[list] = []
         self.server = Server(self.handle)
@@ -229,6 +236,8 @@
         """Extend the lease; it never shortens."""
         deadline_ms = body.get("deadline-ms", 0)
         if deadline_ms:
+            if self.lease_end_ms and self.clock_ms() > self.lease_end_ms:
+                self.lapses_s.append(time.monotonic())
             longest_ms = self.clock_ms() + MAX_HOLD_MS
             self.lease_end_ms = max(
                 self.lease_end_ms, min(deadline_ms, longest_ms)
@@ -261,6 +270,9 @@
     def hold(self, body: dict) -> Reply:
         """Extend the lease and report runs and ends."""
         seen = body["last-seen"]
+        for number, task, run, *_ in self.ends:
+            if number <= seen:
+                self.noted_s[(task, run)] = time.monotonic()
         self.ends = [end for end in self.ends if end[0] > seen]
         self.extend_lease(body)
         self.changed.wait_for(
