--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -209,17 +209,21 @@
         found = self.works.get(f"{job}.{step}") or self.works.get(job)
         return found or Work(0.1)
 
-    def write_manifest(self, routes: dict[str, str]) -> None:
+    def write_manifest(
+        self, routes: dict[str, str], prefixes: dict[str, str] | None = None
+    ) -> None:
         """Write a version of the manifest.
 
-        :param routes: service by queue; a queue's prefix is its name.
+        :param routes: service by queue.
+        :param prefixes: prefix by queue, by default the queue's name.
         """
+        prefixes = prefixes or {}
         self.version += 3
         rows = [
             {
                 "name": name,
                 "host": HOST,
-                "prefix": f"/{name}/",
+                "prefix": prefixes.get(name, f"/{name}/"),
                 "service": service,
                 "priority": 0,
                 "attempts": 3,
@@ -241,7 +245,8 @@
         }
         text = json.dumps(body).encode()
         self.store.write("op/config", base64.b64encode(text).decode())
-        self.record("operator", f"manifest {self.version}: {routes}")
+        text = f"manifest {self.version}: {routes} {prefixes}"
+        self.record("operator", text)
 
     def start(self) -> None:
         """Start all entries and wait until they are ready."""
