--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
-"""Submissions whose first starts got no answer are not counted as pending."""
+"""A takeover starts tasks again whose ends are not on the first report."""
 
-import threading
+import signal
 import time
 from pathlib import Path
 
@@ -8,99 +8,90 @@
 from standin_worker import Work
 
 QUEUE = "replan"
-JOBS = 20
+JOBS = 40
+TASKS = 15
 
-#: ``visible_ms`` + 2 s, and some time for the call.
-COUNTED_AFTER_S = 5.0
-CHECKED_S = 5.3
+#: A worker of 64 cores; a task needs a tenth of one.
+WORKER_CPU = 64000
+TASK_CPU = 100
 
-#: Racks of nine workers: four, four and one.
-RACKS = ["r-0"] * 4 + ["r-1"] * 4 + ["r-2"]
-DARK_RACK = "r-1"
+#: Time to start all tasks, until the first of them ends.
+STARTING_S = 14.0
 
+#: Time within which all tasks end.
+ENDING_S = 1.0
 
-def submit_all(deployment: Deployment, accepted: dict[str, float]) -> None:
-    """Submit the jobs at all entries at once."""
-    step = {"count": 1, "cpu": 500, "mem-mb": 64, "estimate-ms": 500}
+#: The store's outage; site file: 4.5 s.
+OUTAGE_S = 3.0
+LEADER_STOPS_S = 2.5
+WATCHED_S = 12.0
 
-    def submit(number: int) -> None:
-        job = f"{number:016x}"
-        entry = deployment.entries[number % len(deployment.entries)]
-        body = {"spec": "x", "steps": [step]}
-        status, _ = entry.call("POST", f"/{QUEUE}/{job}", body)
-        if status == 200:
-            accepted[job] = time.monotonic()
 
-    threads = [
-        threading.Thread(target=submit, args=(number,))
-        for number in range(1, JOBS + 1)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-def fill(deployment: Deployment) -> None:
-    """Fill the workers of the other racks with long tasks."""
-    job = "f" * 16
-    deployment.works[job] = Work(25.0, cpu=8000)
-    common = {"cpu": 8000, "mem-mb": 64, "estimate-ms": 25000}
-    steps = [
-        common | {"count": RACKS.count(rack), "required-label": rack}
-        for rack in sorted({*RACKS} - {DARK_RACK})
+def starts_after_the_end(deployment: Deployment) -> list[str]:
+    """Return the tasks that were started after a run that ended done."""
+    rows = [
+        (worker, *row)
+        for worker in deployment.workers
+        for row in worker.history
     ]
-    body = {"spec": "x", "steps": steps}
-    status, _ = deployment.entries[0].call("POST", f"/{QUEUE}/{job}", body)
-    if status != 200:
-        raise NotRunError("the submission was not accepted")
-    end_s = time.monotonic() + 5.0
-    others = [w for w in deployment.workers if w.rack != DARK_RACK]
-    while not all(worker.runs for worker in others):
-        if time.monotonic() > end_s:
-            raise NotRunError("the tasks have not started")
-        time.sleep(0.05)
+    found = []
+    for worker, task, number, _, ended_s, outcome in rows:
+        noted_s = worker.noted_s.get((task, number))
+        if outcome != "done" or noted_s is None:
+            continue
+        if any(ended_s < at_s < noted_s for at_s in worker.lapses_s):
+            continue
+        for other, again, again_number, began_s, *_ in rows:
+            if again == task and began_s > ended_s:
+                found.append(
+                    f"TWICE: {task} ended done as #{number} on {worker.name}, "
+                    f"which was taken note of without a lapse, and started as "
+                    f"#{again_number} on {other.name} "
+                    f"{began_s - ended_s:.2f} s later"
+                )
+    return found
 
 
 def play(deployment: Deployment) -> list[str]:
     """Play the case."""
-    for number, rack in enumerate(RACKS):
-        deployment.add_worker(f"w{number}", "pool-a", rack=rack)
-    deployment.write_manifest({QUEUE: "pool-a"})
+    worker = deployment.add_worker("w0", "pool-a", cpu=WORKER_CPU)
+    deployment.add_worker("w1", "pool-b")
+    deployment.write_manifest({QUEUE: "pool-a", "profile": "pool-b"})
     deployment.start()
-    fill(deployment)
-    time.sleep(3.0)
+    ends_s = time.monotonic() + STARTING_S
+    step = {"count": TASKS, "cpu": TASK_CPU, "mem-mb": 16, "estimate-ms": 9000}
+    for number in range(1, JOBS + 1):
+        job = f"{number:016x}"
+        until_s = ends_s + ENDING_S * number / JOBS
+        deployment.works[job] = Work(0.1, TASK_CPU, until_s=until_s)
+        body = {"spec": "x", "steps": [step]}
+        entry = deployment.entries[number % len(deployment.entries)]
+        status, _ = entry.call("POST", f"/{QUEUE}/{job}", body)
+        if status != 200:
+            raise NotRunError("a submission was not accepted")
+    while len(worker.runs) < JOBS * TASKS:
+        if time.monotonic() > ends_s - 1.0:
+            raise NotRunError("the tasks have not all started in time")
+        time.sleep(0.05)
+    time.sleep(ends_s - 0.5 - time.monotonic())
     if has_trouble():
-        for worker in deployment.workers:
-            if worker.rack == DARK_RACK:
-                worker.set_cut(True)
-    accepted: dict[str, float] = {}
-    submit_all(deployment, accepted)
-    if len(accepted) < JOBS:
-        raise NotRunError("the submissions were not accepted")
-    time.sleep(max(accepted.values()) + CHECKED_S - time.monotonic())
-    begun = {
-        task.partition(".")[0]
-        for worker in deployment.workers
-        for task, *_ in worker.history
-    }
-    now_s = time.monotonic()
-    waiting = [
-        job
-        for job, accepted_s in accepted.items()
-        if now_s - accepted_s > COUNTED_AFTER_S and job not in begun
-    ]
-    broken = []
-    for entry in deployment.entries:
-        status, body = entry.call("GET", f"/{QUEUE}/")
-        pending = body.get("pending", 0)
-        if status == 200 and 2 * pending < len(waiting):
-            broken.append(
-                f"MIXED: {entry.name} gives {pending} as pending; "
-                f"{len(waiting)} submissions that were accepted over "
-                f"{COUNTED_AFTER_S} s before have not begun"
-            )
-    return broken
+        deployment.record("store", "is down")
+        deployment.store.set_down(True)
+    time.sleep(LEADER_STOPS_S)
+    leader = next(
+        entry
+        for entry in deployment.entries
+        if entry.name == deployment.leader_name()
+    )
+    leader.signal(signal.SIGTERM)
+    time.sleep(OUTAGE_S - LEADER_STOPS_S)
+    if has_trouble():
+        deployment.store.set_down(False)
+        deployment.record("store", "is up")
+    leader.process.wait(10)
+    leader.start()
+    time.sleep(WATCHED_S)
+    return starts_after_the_end(deployment)
 
 
 run_case(Path(__file__).resolve().parent, play)
