--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A takeover starts tasks again whose ends are not on the first report."""
+"""A takeover starts a task of a queue that has changed its service again."""
 
 import signal
 import time
@@ -7,95 +7,74 @@
 from deployment import Deployment, NotRunError, has_trouble, run_case
 from standin_worker import Work
 
-QUEUE = "replan"
-JOBS = 40
-TASKS = 15
+JOB = "00000000000000a1"
+TASK = f"{JOB}.0.0.0"
 
-#: A worker of 64 cores; a task needs a tenth of one.
-WORKER_CPU = 64000
-TASK_CPU = 100
+#: How long the task runs.
+RUN_S = 14.0
 
-#: Time between two submissions; a queue's turn brings more a second.
-SUBMITTED_EVERY_S = 0.08
+#: After ``config-apply-ms`` (2 s) a manifest is in force everywhere.
+APPLIED_S = 4.0
 
-#: Time to start all tasks, until the first of them ends.
-STARTING_S = 14.0
+#: The cut of one worker of six; site file: share 0.17, 5.5 s.
+CUT_S = 5.0
 
-#: Time within which all tasks end.
-ENDING_S = 1.0
 
-#: The store's outage; site file: 4.5 s.
-OUTAGE_S = 3.0
-LEADER_STOPS_S = 2.5
-WATCHED_S = 12.0
-
-
-def starts_after_the_end(deployment: Deployment) -> list[str]:
-    """Return the tasks that were started after a run that ended done."""
+def overlaps(deployment: Deployment) -> list[str]:
+    """Return where two runs of a task were at work at the same time."""
+    now_s = time.monotonic()
     rows = [
-        (worker, *row)
+        (task, number, began_s, ended_s or now_s, worker.name)
         for worker in deployment.workers
-        for row in worker.history
+        for task, number, began_s, ended_s, _ in worker.history
     ]
     found = []
-    for worker, task, number, _, ended_s, outcome in rows:
-        noted_s = worker.noted_s.get((task, number))
-        if outcome != "done" or noted_s is None:
-            continue
-        if any(ended_s < at_s < noted_s for at_s in worker.lapses_s):
-            continue
-        for other, again, again_number, began_s, *_ in rows:
-            if again == task and began_s > ended_s:
-                found.append(
-                    f"TWICE: {task} ended done as #{number} on {worker.name}, "
-                    f"which was taken note of without a lapse, and started as "
-                    f"#{again_number} on {other.name} "
-                    f"{began_s - ended_s:.2f} s later"
-                )
+    for row in rows:
+        for other in rows:
+            if row[4] < other[4] and row[0] == other[0]:
+                both_s = min(row[3], other[3]) - max(row[2], other[2])
+                if both_s > 0:
+                    found.append(
+                        f"TWICE: {row[0]} ran as #{row[1]} on {row[4]} and as "
+                        f"#{other[1]} on {other[4]} at once for {both_s:.2f} s"
+                    )
     return found
 
 
 def play(deployment: Deployment) -> list[str]:
     """Play the case."""
-    worker = deployment.add_worker("w0", "pool-a", cpu=WORKER_CPU)
-    deployment.add_worker("w1", "pool-b")
-    deployment.write_manifest({QUEUE: "pool-a", "profile": "pool-b"})
+    for number in range(3):
+        deployment.add_worker(f"a{number}", "pool-a", rack=f"r-{number}")
+        deployment.add_worker(f"b{number}", "pool-b", rack=f"r-{number}")
+    deployment.write_manifest({"replan": "pool-a"})
     deployment.start()
-    ends_s = time.monotonic() + STARTING_S
-    step = {"count": TASKS, "cpu": TASK_CPU, "mem-mb": 16, "estimate-ms": 9000}
-    for number in range(1, JOBS + 1):
-        job = f"{number:016x}"
-        until_s = ends_s + ENDING_S * number / JOBS
-        deployment.works[job] = Work(0.1, TASK_CPU, until_s=until_s)
-        body = {"spec": "x", "steps": [step]}
-        entry = deployment.entries[number % len(deployment.entries)]
-        status, _ = entry.call("POST", f"/{QUEUE}/{job}", body)
-        if status != 200:
-            raise NotRunError("a submission was not accepted")
-        time.sleep(SUBMITTED_EVERY_S)
-    while len(worker.runs) < JOBS * TASKS:
-        if time.monotonic() > ends_s - 1.0:
-            raise NotRunError("the tasks have not all started in time")
+    deployment.works[JOB] = Work(RUN_S)
+    step = {"count": 1, "cpu": 1000, "mem-mb": 256, "estimate-ms": 14000}
+    body = {"spec": "x", "steps": [step]}
+    status, _ = deployment.entries[0].call("POST", f"/replan/{JOB}", body)
+    if status != 200:
+        raise NotRunError("the submission was not accepted")
+    end_s = time.monotonic() + 5.0
+    while not any(worker.runs for worker in deployment.workers):
+        if time.monotonic() > end_s:
+            raise NotRunError("the task has not started")
         time.sleep(0.05)
-    time.sleep(ends_s - 0.5 - time.monotonic())
+    first = next(worker for worker in deployment.workers if worker.runs)
+    deployment.write_manifest({"replan": "pool-b"})
+    time.sleep(APPLIED_S)
     if has_trouble():
-        deployment.record("store", "is down")
-        deployment.store.set_down(True)
-    time.sleep(LEADER_STOPS_S)
-    leader = next(
-        entry
-        for entry in deployment.entries
-        if entry.name == deployment.leader_name()
-    )
+        first.set_cut(True)
+        time.sleep(0.3)
+    leader = deployment.leader()
     leader.signal(signal.SIGTERM)
-    time.sleep(OUTAGE_S - LEADER_STOPS_S)
-    if has_trouble():
-        deployment.store.set_down(False)
-        deployment.record("store", "is up")
     leader.process.wait(10)
     leader.start()
-    time.sleep(WATCHED_S)
-    return starts_after_the_end(deployment)
+    time.sleep(max(CUT_S - 5.0, 0.0))
+    time.sleep(1.0)
+    if has_trouble():
+        first.set_cut(False)
+    time.sleep(12.0)
+    return overlaps(deployment)
 
 
 run_case(Path(__file__).resolve().parent, play)
--- a/review/second/standin_store.py
+++ b/review/second/standin_store.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from base64 import b64decode
+from bisect import bisect_left, bisect_right, insort
 from urllib.parse import parse_qs, urlsplit
 
 from http_server import Reply, Server
@@ -27,6 +28,7 @@
         self.changed = threading.Condition()
         self.revision = 1
         self.items: dict[str, dict] = {}
+        self.keys: list[str] = []
         self.history: list[dict] = []
         self.leases: dict[int, list[float]] = {}
         self.next_lease = 1
@@ -74,11 +76,14 @@
         """Return a page of the keys below a prefix."""
         prefix, after = query["prefix"], query.get("after", "")
         with self.changed:
-            keys = sorted(
-                key
-                for key in self.items
-                if key.startswith(prefix) and key > after
+            first = max(
+                bisect_left(self.keys, prefix), bisect_right(self.keys, after)
             )
+            keys = [
+                key
+                for key in self.keys[first : first + PAGE_ITEMS + 1]
+                if key.startswith(prefix)
+            ]
             page = [self.items[key] for key in keys[:PAGE_ITEMS]]
             more = len(keys) > PAGE_ITEMS
             as_of = self.revision
@@ -131,10 +136,13 @@
                 "created": known["created"] if known else self.revision,
                 "lease": put.get("lease", 0),
             }
+            if not known:
+                insort(self.keys, key)
             self.items[key] = item
             self.history.append(item)
         for key in deletes:
             if self.items.pop(key, None):
+                del self.keys[bisect_left(self.keys, key)]
                 event = {
                     "key": key,
                     "revision": self.revision,
