Wait for the earlier pools of a moved queue after a takeover

Cause: the wait of a new leader for workers that may have runs of a stored job took these to be the workers of the pool that the queue has now. The log shows the start on the new pool 0.09 s after the term began, while the worker with the first run was not polled.

Change: entries keep the queues of the manifests that they have seen in a row. A stored job waits for the workers of all pools that its queue had since its acceptance, and of all pools if that is not known: after a restart of the entry, a full read of a newer manifest, or while the manifest may be older than the election. A new leader reads the operators' keys at once.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -139,6 +139,7 @@
         """Apply a newer manifest to all jobs."""
         state = self.state
         state.manifest = manifest
+        state.queue_history.observe(manifest)
         for job in state.jobs.values():
             record = job.record
             job.queue = state.queue_of(record.queue, record.manifest_version)
--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -29,6 +29,7 @@
 from cyclamenscale.jobs.notices import LeaderNotices
 from cyclamenscale.jobs.precedence import capacity_of
 from cyclamenscale.jobs.presence import Presence
+from cyclamenscale.jobs.queue_history import QueueHistory
 from cyclamenscale.jobs.registry import WorkerRegistry
 from cyclamenscale.jobs.relay import Relay, Responder
 from cyclamenscale.jobs.state import State, Term
@@ -130,6 +131,7 @@
         self.metrics = metrics
         self.job_index = JobIndex()
         self.manifest: Manifest | None = None
+        self.queue_history = QueueHistory()
         self.waves: dict[int, MaintenanceWave] = {}
         self.draining = False
         self.coordinator: Coordinator | None = None
@@ -187,7 +189,7 @@
             ports.store,
             events,
             decoders.operator_prefix,
-            self.apply_operator,
+            self.replace_operator,
             self.apply_operator,
             wait_ms,
         )
@@ -432,12 +434,23 @@
         if indexed.state not in FINAL_STATES:
             self.coordinator.add_job(indexed.record, indexed.revision)
 
-    def apply_operator(self, items: list[KeyValue], revision: int) -> None:
-        """Apply manifests and maintenance waves written by operators."""
+    def replace_operator(self, items: list[KeyValue], revision: int) -> None:
+        """Apply a full read of what operators have written."""
+        self.apply_operator(items, revision, complete=False)
+
+    def apply_operator(
+        self, items: list[KeyValue], revision: int, complete: bool = True
+    ) -> None:
+        """Apply manifests and maintenance waves written by operators.
+
+        :param complete: whether no manifest was missed before these changes.
+        """
         for item in items:
             try:
                 if item.key == self.decoders.manifest_key and item.value:
-                    self.set_manifest(self.decoders.manifest(item.value))
+                    manifest = self.decoders.manifest(item.value)
+                    self.queue_history.observe(manifest, complete)
+                    self.set_manifest(manifest)
                 elif item.key.startswith(self.decoders.wave_prefix):
                     if item.value:
                         self.set_wave(self.decoders.wave(item.value))
@@ -478,6 +491,8 @@
         leader's key, which may be before the read ends.
         """
         self.starting_term = term
+        # The previous leader may have known a newer manifest.
+        self.operator_watch.reread()
 
         def handle_read(done: Future) -> None:
             if self.starting_term != term:
@@ -502,6 +517,8 @@
             self.election.lease.is_confirmed,
             self.events,
             self.metrics,
+            self.queue_history,
+            lambda: self.operator_watch.revision,
         )
         coordinator = Coordinator(state, self.ports, self.record_progress)
         self.coordinator = coordinator
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -73,12 +73,16 @@
         self.reserved: set[str] = set()
         self.next_selection_s = 0.0
         self.passes = 0
+        #: Results of :meth:`may_run_unpolled` in this pass, by pools and by
+        #: whether leases of the previous term may still hold.
+        self.unpolled: dict[tuple[frozenset[str] | None, bool], bool] = {}
 
     def run(self) -> None:
         """Place the waiting tasks that can start now."""
         state = self.state
         state.changed = False
         now_s = state.clock()
+        self.unpolled.clear()
         pools: dict[str, list[Job]] = {}
         for job in state.jobs.values():
             if job.open_steps():
@@ -233,12 +237,23 @@
                 return
 
     def may_run_unpolled(self, job: Job, now_s: float) -> bool:
-        """Return whether a job may have runs on a worker not polled yet."""
-        state, pool = self.state, job.queue.pool
-        if now_s < job.unpolled_until_s:
-            return state.unpolled_workers(pool)
-        until_s = job.unpolled_until_s + SUPERSEDED_NOTICE_S
-        return now_s < until_s and state.unreached_live_workers(pool)
+        """Return whether a job may have runs on a worker not polled yet.
+
+        Its runs may be in pools that its queue had before.
+        """
+        state = self.state
+        if now_s >= job.unpolled_until_s + SUPERSEDED_NOTICE_S:
+            return False
+        pools, leased = state.pools_of(job), now_s < job.unpolled_until_s
+        found = self.unpolled.get((pools, leased))
+        if found is None:
+            found = (
+                state.unpolled_workers(pools)
+                if leased
+                else state.unreached_live_workers(pools)
+            )
+            self.unpolled[pools, leased] = found
+        return found
 
     def choose(
         self, task: Task, candidates: Candidates, reserved: set[str]
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -1,5 +1,7 @@
 """The state of one term, shared by the components of a coordinator."""
 
+from collections.abc import Callable
+from math import inf
 from statistics import median_low
 from typing import NamedTuple, Protocol
 
@@ -7,6 +9,7 @@
 from cyclamenscale.jobs.estimates import EstimateBias
 from cyclamenscale.jobs.job import Job
 from cyclamenscale.jobs.model import Machine, Manifest, Queue, WorkerRecord
+from cyclamenscale.jobs.queue_history import QueueHistory
 from cyclamenscale.jobs.worker import (
     LEASE_EXPIRY_MARGIN_S,
     MIN_CLOCK_RATE,
@@ -83,6 +86,9 @@
     :param wall: wall-clock seconds.
     :param lease_confirmed: checks whether this entry holds the leader
         lease.
+    :param queue_history: the queues of earlier manifests.
+    :param manifest_revision: returns the store's revision up to which this
+        entry knows all manifests.
     """
 
     def __init__(
@@ -95,8 +101,12 @@
         lease_confirmed: LeaseCheck,
         events: EventLog,
         metrics: Metrics,
+        queue_history: QueueHistory | None = None,
+        manifest_revision: Callable[[], float] = lambda: inf,
     ):
         """Initialise with no jobs and no workers."""
+        self.queue_history = queue_history or QueueHistory(manifest)
+        self.manifest_revision = manifest_revision
         self.settings = settings
         self.term = term
         self.manifest = manifest
@@ -136,6 +146,20 @@
             return stored
         return self.manifest.queues.get(stored.name, stored)
 
+    def pools_of(self, job: Job) -> frozenset[str] | None:
+        """Return the pools in which tasks of a job may have been started.
+
+        :returns: names of the pools; None if it may be any pool, because an
+            earlier leader may have known a manifest that this entry has not.
+        """
+        if self.manifest_revision() < self.term.fence:
+            return None
+        record = job.record
+        pools = self.queue_history.pools_since(
+            record.queue, record.manifest_version
+        )
+        return pools if pools is None else pools | {job.queue.pool}
+
     def may_start(self) -> bool:
         """Return whether tasks may be started.
 
@@ -211,21 +235,25 @@
         silent_s = self.clock() - since_s
         return not worker.terminated and silent_s < REGISTRATION_ALIVE_S
 
-    def unreached_live_workers(self, pool: str) -> bool:
-        """Return whether a live worker of a pool has not been polled yet.
+    def unreached_live_workers(self, pools: frozenset[str] | None) -> bool:
+        """Return whether a live worker of some pools was not polled yet.
+
+        :param pools: names of the pools, None for all.
 
         The previous leader may still reach it and start tasks on it, and it
         may have done tasks whose ends nobody has read.
         """
         return any(
-            worker.record.pool == pool
+            (pools is None or worker.record.pool in pools)
             and worker.fence != self.term.fence
             and self.is_alive(worker)
             for worker in self.workers.values()
         )
 
-    def unpolled_workers(self, pool: str) -> bool:
-        """Return whether a pool may have a worker that was not polled yet.
+    def unpolled_workers(self, pools: frozenset[str] | None) -> bool:
+        """Return whether some pools may have a worker not polled yet.
+
+        :param pools: names of the pools, None for all.
 
         Registrations expire while the store is unavailable and return
         seconds later, so machines that are up are checked as well.
@@ -234,14 +262,21 @@
             return True
         polled = set()
         for worker in self.workers.values():
-            if worker.terminated or worker.record.pool != pool:
+            if worker.terminated or not (
+                pools is None or worker.record.pool in pools
+            ):
                 continue
             if worker.fence != self.term.fence:
                 return True
             polled.add(worker.record.machine)
             polled.add(worker.id)
+        standby = {p.name for p in self.manifest.pools.values() if p.standby}
         return any(
-            machine.pool == pool
+            (
+                machine.pool not in standby
+                if pools is None
+                else machine.pool in pools
+            )
             and machine.name not in polled
             and machine.worker not in polled
             for machine in self.up_machines
--- a/test/jobs/test_entry.py
+++ b/test/jobs/test_entry.py
@@ -9,7 +9,7 @@
 from cyclamenscale.jobs.coordinator import Ports
 from cyclamenscale.jobs.entry import JobEntry
 from cyclamenscale.jobs.keys import LEADER, job_key
-from cyclamenscale.jobs.model import JobRecord, JobSpec
+from cyclamenscale.jobs.model import JobRecord, JobSpec, Manifest
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.store.port import KeyValue, RangeResult
 from cyclamenscale.util.codec import encode_record
@@ -122,3 +122,18 @@
         entry.apply_jobs([KeyValue(LEADER, b"", 0, revision)], revision)
     assert not entry.election.term
     assert not entry.coordinator
+
+
+def test_a_full_read_of_a_newer_manifest_restarts_the_history(entry):
+    """Guards against a pool of a queue that only a missed manifest named."""
+    entry.manifest = None
+    entry.decoders.manifest_key = "op/config"
+    entry.decoders.manifest = lambda value: Manifest(
+        int(value), {"replan": QUEUE}, {}
+    )
+    entry.replace_operator([KeyValue("op/config", b"3", 5, 5)], 5)
+    entry.apply_operator([KeyValue("op/config", b"4", 5, 6)], 6)
+    assert entry.queue_history.pools_since(QUEUE, 3) == {QUEUE.pool}
+    entry.replace_operator([KeyValue("op/config", b"9", 5, 9)], 9)
+    assert entry.queue_history.pools_since(QUEUE, 4) is None
+    assert entry.queue_history.pools_since(QUEUE, 9) == {QUEUE.pool}
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -26,6 +26,7 @@
     Manifest,
     Pool,
     Queue,
+    Recurrence,
     RunReport,
     Step,
     WorkerRecord,
@@ -37,6 +38,7 @@
     StoreCalls,
     WorkerCalls,
 )
+from cyclamenscale.jobs.queue_history import QueueHistory
 from cyclamenscale.jobs.state import State, Term
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.settings import Settings
@@ -495,6 +497,8 @@
         self.manifest = Manifest(
             1, {"replan": QUEUE}, {name: Pool(name) for name in pools}
         )
+        #: Manifests that the entries have seen.
+        self.queue_history = QueueHistory(self.manifest)
         for pool in pools:
             for number in range(workers):
                 self.add_worker(f"{pool}-{number}", pool)
@@ -538,6 +542,7 @@
             self.lease,
             self.events,
             Metrics(self.settings),
+            self.queue_history,
         )
         ports = Ports(self.workers, self.machines, self.store)
         self.coordinator = Coordinator(state, ports)
@@ -547,10 +552,29 @@
                 self.coordinator.register_worker(worker.entry)
         return self.coordinator
 
-    def submit(self, job: str, *steps: Step, queue: Queue = QUEUE) -> None:
+    def change_queues(self, *queues: Queue) -> None:
+        """Write a manifest with other queues, which all entries apply."""
+        self.manifest = self.manifest._replace(
+            version=self.manifest.version + 1,
+            queues={queue.name: queue for queue in queues},
+        )
+        self.queue_history.observe(self.manifest)
+        self.coordinator.set_manifest(self.manifest)
+
+    def submit(
+        self,
+        job: str,
+        *steps: Step,
+        queue: Queue = QUEUE,
+        recurrence: Recurrence | None = None,
+    ) -> None:
         """Accept a job and pass it to the coordinator."""
         record = JobRecord(
-            job, queue, 1, int(self.clock() * 1000), JobSpec("x", steps)
+            job,
+            queue,
+            1,
+            int(self.clock() * 1000),
+            JobSpec("x", steps, recurrence),
         )
         self.steps[job] = steps
         revision = self.store.put(job_key(job), encode_record(record))
