Read all ends of a worker before stored jobs start after a takeover

Cause: a worker lists 500 ends at a time, and the next ones after those are acknowledged. The new leader counted it as polled with the first report. In the log a task starts in the same millisecond as that report, and its end, number 503, is read 0.1 s later.

Change: a worker counts as taken over once a report lists fewer ends than the maximum. Stored jobs wait for that without a limit while the worker responds, and for a silent one as long as for runs that may be done. Its machine is not moved or taken down before.

--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -287,8 +287,9 @@
         self, operation: Operation, worker: Worker, now_s: float
     ) -> bool:
         """Return whether a machine may be taken down or moved now."""
-        if worker.failed_polls or worker.fence != self.state.term.fence:
-            # Its runs are unknown, and it may respond again later.
+        if worker.failed_polls or not self.state.is_taken_over(worker):
+            # Its runs are unknown, and it may respond again later; or it has
+            # more ends to report.
             return False
         max_wait_s = self.state.settings.jobs.empty_s
         wait_expired = now_s - operation.started_s > max_wait_s
@@ -574,7 +575,7 @@
         """Return whether a worker's machine may move to another pool."""
         term = self.state.term
         return (
-            worker.fence == term.fence
+            self.state.is_taken_over(worker)
             and not worker.failed_polls
             and not worker.terminated
             and not worker.record.leaving
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 from cyclamenscale.jobs.advice import Tickets
@@ -73,9 +73,8 @@
         self.reserved: set[str] = set()
         self.next_selection_s = 0.0
         self.passes = 0
-        #: Results of :meth:`may_run_unpolled` in this pass, by pools and by
-        #: whether leases of the previous term may still hold.
-        self.unpolled: dict[tuple[frozenset[str] | None, bool], bool] = {}
+        #: Results of :meth:`ask_once` in this pass, by question and pools.
+        self.unpolled: dict[tuple[str, frozenset[str] | None], bool] = {}
 
     def run(self) -> None:
         """Place the waiting tasks that can start now."""
@@ -242,18 +241,28 @@
         Its runs may be in pools that its queue had before.
         """
         state = self.state
-        if now_s >= job.unpolled_until_s + SUPERSEDED_NOTICE_S:
+        if not job.unpolled_until_s:
             return False
-        pools, leased = state.pools_of(job), now_s < job.unpolled_until_s
-        found = self.unpolled.get((pools, leased))
-        if found is None:
-            found = (
-                state.unpolled_workers(pools)
-                if leased
-                else state.unreached_live_workers(pools)
-            )
-            self.unpolled[pools, leased] = found
-        return found
+        if now_s < job.unpolled_until_s:
+            question = state.unpolled_workers
+        elif now_s < job.unpolled_until_s + SUPERSEDED_NOTICE_S:
+            question = state.unreached_live_workers
+        else:
+            question = state.has_unread_ends
+            if not self.ask_once(question, None):
+                return False
+        return self.ask_once(question, state.pools_of(job))
+
+    def ask_once(
+        self,
+        question: Callable[[frozenset[str] | None], bool],
+        pools: frozenset[str] | None,
+    ) -> bool:
+        """Return an answer about the workers of pools, once in each pass."""
+        key = (question.__name__, pools)
+        if key not in self.unpolled:
+            self.unpolled[key] = question(pools)
+        return self.unpolled[key]
 
     def choose(
         self, task: Task, candidates: Candidates, reserved: set[str]
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -17,7 +17,7 @@
 from cyclamenscale.jobs.orders import WorkerOrders
 from cyclamenscale.jobs.ports import OrderResponse, PollRequest, WorkerCalls
 from cyclamenscale.jobs.speeds import SpeedMonitor
-from cyclamenscale.jobs.state import REPORT_WAIT_S, State
+from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
     RUNNING,
@@ -214,6 +214,7 @@
                 worker=worker.id,
                 pool=worker.record.pool,
                 runs=len(worker.runs),
+                ends=len(report.ends),
                 fence=state.term.fence,
             )
             state.mark_changed()
@@ -284,7 +285,8 @@
                 worker.update_run(run, run_report, report.clock_ms, now_s)
             else:
                 self.inherit_run(worker, run_report, report.clock_ms, now_s)
-        if len(report.ends) < MAX_REPORTED_ENDS:
+        worker.ends_truncated = len(report.ends) >= MAX_REPORTED_ENDS
+        if not worker.ends_truncated:
             self.drop_missing_runs(worker, reported, report.clock_ms)
 
     def drop_missing_runs(
@@ -481,10 +483,7 @@
         """
         runs = list(worker.runs.values())
         if not worker.terminated:
-            awaits = (
-                self.state.is_alive(worker)
-                and now_s < worker.lease_expiry_s() + REPORT_WAIT_S
-            )
+            awaits = self.state.awaits_report(worker)
             return [run for run in runs if not (awaits and run.may_be_done)]
         record = self.state.registry.get(worker.id)
         if record and record.started_ms != worker.record.started_ms:
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -235,6 +235,35 @@
         silent_s = self.clock() - since_s
         return not worker.terminated and silent_s < REGISTRATION_ALIVE_S
 
+    def is_taken_over(self, worker: Worker) -> bool:
+        """Return whether a worker has reported all its runs and ends.
+
+        One report lists only the first of many ends; the others follow once
+        those are acknowledged, which needs the store.
+        """
+        return worker.fence == self.term.fence and not worker.ends_truncated
+
+    def has_unread_ends(self, pools: frozenset[str] | None) -> bool:
+        """Return whether workers of some pools have more ends to report.
+
+        :param pools: names of the pools, None for all.
+
+        A worker that has become silent is waited for as long as the reports
+        of its own runs are.
+        """
+        return any(
+            worker.ends_truncated
+            and not worker.terminated
+            and (pools is None or worker.record.pool in pools)
+            and (not worker.failed_polls or self.awaits_report(worker))
+            for worker in self.workers.values()
+        )
+
+    def awaits_report(self, worker: Worker) -> bool:
+        """Return whether a silent worker may still report ends."""
+        until_s = worker.lease_expiry_s() + REPORT_WAIT_S
+        return self.is_alive(worker) and self.clock() < until_s
+
     def unreached_live_workers(self, pools: frozenset[str] | None) -> bool:
         """Return whether a live worker of some pools was not polled yet.
 
@@ -245,7 +274,7 @@
         """
         return any(
             (pools is None or worker.record.pool in pools)
-            and worker.fence != self.term.fence
+            and not self.is_taken_over(worker)
             and self.is_alive(worker)
             for worker in self.workers.values()
         )
@@ -266,7 +295,7 @@
                 pools is None or worker.record.pool in pools
             ):
                 continue
-            if worker.fence != self.term.fence:
+            if not self.is_taken_over(worker):
                 return True
             polled.add(worker.record.machine)
             polled.add(worker.id)
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -167,6 +167,8 @@
     :ivar last_applied_end: number of the last end that was applied.
     :ivar last_acknowledged_end: number of the last end whose effect is
         stored.
+    :ivar ends_truncated: whether its latest report had as many ends as one
+        holds, so that it may lack later ones.
     :ivar in_registry: whether it is registered, or was until recently.
     :ivar registered_s: when it last wrote to the registry in this term.
     :ivar left_registry_s: when it left the registry, 0 if it has not.
@@ -206,6 +208,7 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.last_applied_end = 0
         self.last_acknowledged_end = 0
+        self.ends_truncated = False
         self.in_registry = True
         self.registered_s = -1e9
         self.left_registry_s = 0.0
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -32,6 +32,7 @@
     WorkerRecord,
     WorkerReport,
 )
+from cyclamenscale.jobs.polling import MAX_REPORTED_ENDS
 from cyclamenscale.jobs.ports import (
     MachineCalls,
     OrderResponse,
@@ -381,7 +382,7 @@
                     RunReport(task, run, "", self.world.percent(task))
                     for task, run in found.runs
                 ),
-                tuple(found.ends),
+                tuple(found.ends[:MAX_REPORTED_ENDS]),
             )
 
         return self.deliver(worker, carry_out, request)
