Find jobs by their id and their queues by address

Cause: the name of the route that a path selects now was compared with the name stored with the job. Callers know only the address.

Change: a job is found by its id, as it is when it is submitted. Running jobs, the number of pending jobs and the pools that a new leader waits for follow the queue at the address, or the one that kept its name, through all versions that the entry has seen. A peer that lacks a job which the entry has is not believed. A 410 is logged and counted, which it was not.

--- a/cyclamenscale/jobs/calls.py
+++ b/cyclamenscale/jobs/calls.py
@@ -121,6 +121,10 @@
         """Return the state of a job, or fail with :class:`NoJobError`.
 
         An entry whose watch may be behind requests it from the leader.
+
+        :param queue: the queue at the address of the request. The job may
+            have been submitted to one of another name: an id names one job,
+            whichever queue a request comes through.
         """
         entry = self.entry
         if (
@@ -129,16 +133,18 @@
             or not (entry.is_watch_behind() or entry.is_watch_quiet())
             or not entry.relay.available(STATE_KIND)
         ):
-            return self.local_state(queue.name, job)
+            return self.local_state(job)
         outcome: Future = Future()
 
         def handle_peer_state(done: Future) -> None:
-            if done.exception():
+            indexed = entry.job_index.jobs.get(job)
+            if done.exception() and not (indexed and indexed.record):
                 outcome.set_exception(done.exception())
-            elif done.result():
+            elif not done.exception() and done.result():
                 outcome.set_result(done.result())
             else:
-                chain_future(self.local_state(queue.name, job), outcome)
+                # A peer may not know a job that is stored.
+                chain_future(self.local_state(job), outcome)
 
         entry.relay.state(queue.name, job).add_done_callback(handle_peer_state)
         return outcome
@@ -153,6 +159,8 @@
     def state_for_peer(self, queue: str, job: str) -> Future:
         """Return the state of a job, unless this entry may not know it.
 
+        :param queue: name of the queue in the caller's request; an id names
+            one job in all queues, so that it changes nothing.
         :returns: future like that of :meth:`local_state`; fails with
             :class:`NotAcceptedNowError` if this entry's watch is behind.
         """
@@ -161,20 +169,17 @@
             or self.is_known_to_have_ended(job)
             or not self.entry.is_watch_behind()
         ):
-            return self.local_state(queue, job)
+            return self.local_state(job)
         outcome: Future = Future()
         outcome.set_exception(NotAcceptedNowError("watch_behind", 0.5))
         return outcome
 
-    def local_state(self, queue: str, job: str) -> Future:
-        """Return the state of a job according to this entry.
-
-        :param queue: name of the queue in the caller's request.
-        """
+    def local_state(self, job: str) -> Future:
+        """Return the state of a job according to this entry."""
         outcome: Future = Future()
         indexed = self.entry.job_index.jobs.get(job)
         if indexed and indexed.record:
-            self.resolve_state(queue, job, outcome)
+            self.resolve_state(job, outcome)
             return outcome
 
         def handle_read(done: Future) -> None:
@@ -186,7 +191,7 @@
                 self.entry.job_index.apply(
                     done.result(), self.entry.loop.clock()
                 )
-            self.resolve_state(queue, job, outcome)
+            self.resolve_state(job, outcome)
 
         # The watch may not have delivered the job yet.
         self.entry.ports.store.read(job_key(job)).add_done_callback(
@@ -194,15 +199,17 @@
         )
         return outcome
 
-    def resolve_state(self, queue: str, job: str, outcome: Future) -> None:
+    def resolve_state(self, job: str, outcome: Future) -> None:
         """Resolve a future with the indexed state of a job."""
         indexed = self.entry.job_index.jobs.get(job)
-        if not indexed or not indexed.record:
-            outcome.set_exception(NoJobError(f"no job {job}"))
-        elif indexed.record.queue.name != queue:
-            outcome.set_exception(NoJobError(f"no job {job} in this queue"))
-        else:
+        if indexed and indexed.record:
             outcome.set_result(indexed.state)
+            return
+        self.entry.events.note(
+            "job.unknown", job=job, revision=self.entry.job_index.revision
+        )
+        self.entry.metrics.incr("jobs.unknown")
+        outcome.set_exception(NoJobError(f"no job {job}"))
 
     def cancel(self, queue: Queue, job: str, wait_s: float) -> Future:
         """Cancel a job; the future completes once that is stored."""
@@ -242,4 +249,6 @@
 
     def count_pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not started a task."""
-        return self.entry.job_index.count_pending(queue.name)
+        return self.entry.job_index.count_pending(
+            queue.name, self.entry.queue_history.find
+        )
--- a/cyclamenscale/jobs/job_index.py
+++ b/cyclamenscale/jobs/job_index.py
@@ -1,5 +1,6 @@
 """In-memory index of all jobs and of the leader, fed by a store watch."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from cyclamenscale.errors import FieldError
@@ -23,6 +24,7 @@
     FleetRecord,
     JobRecord,
     ProgressRecord,
+    Queue,
     WaveRecord,
 )
 from cyclamenscale.store.port import KeyValue
@@ -230,12 +232,26 @@
         self.loaded = True
         return errors
 
-    def count_pending(self, queue: str) -> int:
-        """Return how many jobs of a queue have not started a task."""
+    def count_pending(
+        self,
+        queue: str,
+        find_queue: Callable[[Queue, int], Queue] = (
+            lambda stored, version: stored
+        ),
+    ) -> int:
+        """Return how many jobs of a queue have not started a task.
+
+        :param queue: name of the queue.
+        :param find_queue: returns the current settings of a job's queue,
+            given the stored ones and the version of their manifest.
+        """
         return sum(
             indexed.record is not None
-            and indexed.record.queue.name == queue
             and indexed.state == QUEUED
+            and find_queue(
+                indexed.record.queue, indexed.record.manifest_version
+            ).name
+            == queue
             for indexed in self.jobs.values()
         )
 
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -142,9 +142,7 @@
         :param stored: the queue when the job was accepted.
         :param version: version of the manifest that it is from.
         """
-        if self.manifest.version < version:
-            return stored
-        return self.manifest.queues.get(stored.name, stored)
+        return self.queue_history.find(stored, version)
 
     def pools_of(self, job: Job) -> frozenset[str] | None:
         """Return the pools in which tasks of a job may have been started.
--- a/test/jobs/test_moved_queues.py
+++ b/test/jobs/test_moved_queues.py
@@ -216,7 +216,7 @@
 def manifest(version, **pools):
     """Return a manifest whose queues are in the given pools."""
     queues = {
-        name: QUEUE._replace(name=name, pool=pool)
+        name: QUEUE._replace(name=name, prefix=f"/{name}/", pool=pool)
         for name, pool in pools.items()
     }
     return Manifest(version, queues, {})
@@ -227,7 +227,7 @@
     history = QueueHistory(manifest(3, q="a", other="x"))
     history.observe(manifest(5, q="a", other="y"))
     history.observe(manifest(9, q="b", other="y"))
-    stored = QUEUE._replace(name="q", pool="a")
+    stored = QUEUE._replace(name="q", prefix="/q/", pool="a")
     assert history.pools_since(stored, 2) is None
     assert history.pools_since(stored, 3) == {"a", "b"}
     assert history.pools_since(stored, 8) == {"a", "b"}
@@ -239,7 +239,7 @@
 def test_a_full_read_that_may_have_missed_manifests_restarts_the_history():
     """Guards against a pool that only a missed manifest named."""
     history = QueueHistory(manifest(3, q="a"))
-    stored = QUEUE._replace(name="q", pool="a")
+    stored = QUEUE._replace(name="q", prefix="/q/", pool="a")
     history.observe(manifest(3, q="a"), complete=False)
     assert history.pools_since(stored, 3) == {"a"}
     history.observe(manifest(6, q="a"), complete=False)
