Ask for the usual task lease after a restart of a worker

Cause: a start in doubt may have given the next incarnation a lease of up to bounds.max-hold-ms, so the leader raises its upper bound of that lease. extend_lease returned the bound as the deadline of later starts and polls, which made the 10 s real. The next leader waits for the usual 3 s.

Change: starts and polls carry the usual deadline; the bound only delays when runs count as ended.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -62,13 +62,18 @@
         )
 
     def extend_lease(self, worker: Worker) -> int:
-        """Extend the lease of a worker's runs and return its deadline."""
+        """Extend the lease of a worker's runs and return its deadline.
+
+        The lease may already be longer, which a deadline never shortens.
+        Asking for that longer one would make it hold, also for runs that
+        have just begun, and a successor waits only for the usual one.
+        """
         now_s = self.state.clock()
         lease_ms = self.state.task_lease_s * 1000
         deadline_ms = int(worker.min_clock_ms(now_s) + lease_ms)
         worker.lease_extended_s = now_s
         worker.lease_deadline_ms = max(worker.lease_deadline_ms, deadline_ms)
-        return worker.lease_deadline_ms
+        return deadline_ms
 
     def start(
         self, worker: Worker, task: Task, number: int, ticket: str = ""
--- a/test/jobs/test_renamed_queues.py
+++ b/test/jobs/test_renamed_queues.py
@@ -123,9 +123,7 @@
     monkeypatch.setattr(
         entry.relay,
         "request",
-        lambda kind, key, frame, settle: settle(
-            PeerResponse(ABSENT), False
-        ),
+        lambda kind, key, frame, settle: settle(PeerResponse(ABSENT), False),
     )
     assert JobCalls(entry).state(QUEUE, "j1").result(0) == "queued"
 
