Allow for calls that reach the next incarnation of a worker

Cause: a worker that is back under its id takes calls meant for its former life. By the same belief, that an id means one incarnation: a start accepted by the next incarnation counted as a run of the earlier one if its clock was ahead; a late start of a done task was not refused any more; polls named ends to forget that may be the next one's.

Change: what may still reach the next incarnation is kept when one is removed; the longest lease is waited for if that one falls silent, and after a takeover for workers that have started lately. Runs end with an incarnation only if it has listed them and all their starts were answered; the others are handed over, and stopped if the next report lacks them. Unanswered starts are stopped on the next incarnation. Acknowledged ends are named until a poll was answered. Responses with another clock are logged.

The doubles shorten leases to the maximum, as the platform does.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -26,7 +26,6 @@
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.throttling import Throttling
 from cyclamenscale.jobs.waiting import WaitingReport
-from cyclamenscale.jobs.worker import Worker
 
 #: Interval of the work that depends on time alone.
 TICK_S = 0.05
@@ -202,7 +201,7 @@
         for record in state.registry.values():
             known = record.id in state.workers
             if not known and not state.has_ended(record):
-                state.workers[record.id] = Worker(record, now_s)
+                self.poller.add_worker(record, now_s)
         for worker in state.workers.values():
             if worker.left_registry_s:
                 worker.in_registry = (
--- a/cyclamenscale/jobs/machines.py
+++ b/cyclamenscale/jobs/machines.py
@@ -25,7 +25,7 @@
 from cyclamenscale.jobs.orders import WorkerOrders
 from cyclamenscale.jobs.placement import Placement
 from cyclamenscale.jobs.ports import MachineCalls, StoreCalls
-from cyclamenscale.jobs.state import State
+from cyclamenscale.jobs.state import INHERITED_WITHIN_S, State
 from cyclamenscale.jobs.steps import StepState, Task
 from cyclamenscale.jobs.takeover import Takeover
 from cyclamenscale.jobs.waves import MaintenanceWaves
@@ -50,10 +50,6 @@
 EMPTYING_TIME_S = 0.7
 MOVE_TIME_S = 2.0
 
-#: Workers that a coordinator finds this soon after its election were there
-#: before, and may move at once.
-INHERITED_WITHIN_S = 2.0
-
 #: Failed polls after which a worker counts as absent.
 SILENT_POLLS = 2
 
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -24,6 +24,7 @@
 from cyclamenscale.jobs.state import State
 from cyclamenscale.jobs.steps import Task
 from cyclamenscale.jobs.worker import (
+    MAX_START_TRIES,
     RUNNING,
     STARTING,
     STOPPING,
@@ -127,6 +128,28 @@
             lambda done: self.handle_start_response(run, repeated, done)
         )
 
+    def record_clock(self, worker: Worker, response: OrderResponse) -> bool:
+        """Record the clock in a response to an order.
+
+        :returns: whether the response may be from the incarnation that the
+            order was meant for. If it is not, the order may have given the
+            later one a lease of any length.
+        """
+        now_s = self.state.clock()
+        if worker.is_plausible_clock(response.clock_ms, now_s):
+            worker.record_clock(response.clock_ms, now_s)
+            return True
+        self.state.events.note(
+            "worker.other_clock",
+            worker=worker.id,
+            clock_ms=response.clock_ms,
+            known_ms=worker.clock_ms,
+            known_age_s=round(now_s - worker.clock_received_s, 3),
+        )
+        worker.foreign_lease_until_s = now_s + self.state.longest_lease_s
+        worker.request_immediate_poll(now_s)
+        return False
+
     def adapt_window(self, sent_s: float, done: Future) -> None:
         """Adapt the window to the time that a start's response took."""
         now_s = self.state.clock()
@@ -154,14 +177,15 @@
             return
         response: OrderResponse = done.result()
         now_s = self.state.clock()
-        worker.record_clock(response.clock_ms, now_s)
+        if response.resent:
+            worker.record_unanswered_start(run.key, now_s)
+        from_addressee = self.record_clock(worker, response)
         if run.tries == 1:
             took_ms = (now_s - run.started_s) * 1000
             self.state.metrics.timing("jobs.start_response_ms", took_ms)
         if response.accepted:
-            if 0 < response.clock_ms < worker.reported_ms and not (
-                run.confirmed_ms
-            ):
+            overtaken = 0 < response.clock_ms < worker.reported_ms
+            if not from_addressee or (overtaken and not run.confirmed_ms):
                 # The worker has restarted, or a report that lacks the run
                 # has overtaken the response. The next report tells.
                 self.await_report(run, now_s)
@@ -204,6 +228,8 @@
             reason=error.reason,
             tries=run.tries,
         )
+        if not isinstance(error, CallNotSentError):
+            worker.record_unanswered_start(run.key, run.unanswered_s)
         if run.key not in worker.runs:
             return
         if isinstance(error, CallNotSentError) and not repeated:
@@ -339,11 +365,10 @@
             worker.request_immediate_poll(now_s)
             return
         response: OrderResponse = done.result()
-        worker.record_clock(response.clock_ms, now_s)
+        from_addressee = self.record_clock(worker, response)
         if response.accepted:
-            if 0 < response.clock_ms < worker.reported_ms and not (
-                run.confirmed_ms
-            ):
+            overtaken = 0 < response.clock_ms < worker.reported_ms
+            if not from_addressee or (overtaken and not run.confirmed_ms):
                 # As for a start; the stop is repeated after the report.
                 self.await_report(run, now_s)
                 return
@@ -401,7 +426,7 @@
                     if now_s >= run.unanswered_s:
                         worker.request_immediate_poll(now_s)
                 elif run.phase == UNCONFIRMED:
-                    if run.tries < 2 and self.may_repeat(run):
+                    if run.tries < MAX_START_TRIES and self.may_repeat(run):
                         self.send_start(run)
                     else:
                         self.stop(run, "start had no answer")
--- a/cyclamenscale/jobs/placement.py
+++ b/cyclamenscale/jobs/placement.py
@@ -248,7 +248,7 @@
         elif now_s < job.unpolled_until_s + SUPERSEDED_NOTICE_S:
             question = state.unreached_live_workers
         else:
-            question = state.has_unread_ends
+            question = state.has_unknown_runs
             if not self.ask_once(question, None):
                 return False
         return self.ask_once(question, state.pools_of(job))
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -11,6 +11,7 @@
     END_STOPPED,
     EndReport,
     RunReport,
+    WorkerRecord,
     WorkerReport,
     parse_task,
 )
@@ -85,18 +86,31 @@
         """
         worker.immediate_poll_in_flight = True
         request = PollRequest(
-            self.state.term.fence, worker.last_acknowledged_end
+            self.state.term.fence, self.end_to_forget(worker)
         )
         sent_s = self.state.clock()
         call = self.calls.poll(worker.record, request, True)
         call.add_done_callback(
             lambda done: self.handle_immediate_poll_response(
-                worker, done, sent_s
+                worker, done, sent_s, request
             )
         )
 
+    def end_to_forget(self, worker: Worker) -> int:
+        """Return the number of the last end that a worker is to forget.
+
+        :returns: 0 once it has done so. A poll may reach a later incarnation
+            under the worker's id, whose ends have the same numbers.
+        """
+        number = worker.last_acknowledged_end
+        return number if number > worker.forgotten_end else 0
+
     def handle_immediate_poll_response(
-        self, worker: Worker, done: Future, sent_s: float
+        self,
+        worker: Worker,
+        done: Future,
+        sent_s: float,
+        request: PollRequest,
     ) -> None:
         """Handle the response to an immediate poll."""
         now_s = self.state.clock()
@@ -107,7 +121,7 @@
             self.record_failed_poll(worker, error.reason, now_s)
             worker.immediate_poll_due_s = worker.poll_due_s
             return
-        self.handle_response(worker, done.result(), sent_s, now_s)
+        self.handle_response(worker, done.result(), sent_s, request)
 
     def poll(self, worker: Worker, is_current: bool) -> None:
         """Renew the lease of a worker's runs and wait for its report.
@@ -132,7 +146,7 @@
             )
         request = PollRequest(
             state.term.fence,
-            worker.last_acknowledged_end,
+            self.end_to_forget(worker),
             self.orders.extend_lease(worker) if renews else 0,
             int(wait_s * 1000),
         )
@@ -141,11 +155,17 @@
         sent_s = state.clock()
         call = self.calls.poll(worker.record, request, new_connection)
         call.add_done_callback(
-            lambda done: self.handle_poll_response(worker, done, sent_s)
+            lambda done: self.handle_poll_response(
+                worker, done, sent_s, request
+            )
         )
 
     def handle_poll_response(
-        self, worker: Worker, done: Future, sent_s: float
+        self,
+        worker: Worker,
+        done: Future,
+        sent_s: float,
+        request: PollRequest,
     ) -> None:
         """Handle the response to a long poll."""
         now_s = self.state.clock()
@@ -154,20 +174,24 @@
         if error:
             self.record_failed_poll(worker, error.reason, now_s)
             return
-        self.handle_response(worker, done.result(), sent_s, now_s)
+        self.handle_response(worker, done.result(), sent_s, request)
 
     def handle_response(
         self,
         worker: Worker,
         response: WorkerReport | OrderResponse,
         sent_s: float,
-        now_s: float,
+        request: PollRequest,
     ) -> None:
         """Handle the response to a long or an immediate poll."""
+        now_s = self.state.clock()
         if isinstance(response, OrderResponse):
             self.handle_refusal(worker, response, now_s)
         else:
             worker.immediate_poll_due_s = 0.0
+            worker.forgotten_end = max(
+                worker.forgotten_end, request.acknowledged_end
+            )
             self.handle_report(worker, response, sent_s, now_s)
 
     def handle_report(
@@ -194,13 +218,8 @@
         worker.fence_confirmed_s = max(worker.fence_confirmed_s, sent_s)
         worker.poll_due_s = now_s
         if first:
-            # An earlier leader may have renewed the lease just before; runs
-            # from before a restart may have the longest lease.
-            lease_ms = (
-                state.settings.jobs.max_hold_ms
-                if worker.runs
-                else int(state.task_lease_s * 1000)
-            )
+            # An earlier leader may have renewed the lease just before.
+            lease_ms = int(state.task_lease_s * 1000)
             worker.lease_deadline_ms = max(
                 worker.lease_deadline_ms, report.clock_ms + lease_ms
             )
@@ -457,19 +476,36 @@
         """Drop runs that have certainly ended, and unneeded workers."""
         for worker in list(self.state.workers.values()):
             if worker.runs and (
-                worker.terminated or self.has_expired(worker, now_s)
+                worker.terminated or self.state.has_expired(worker)
             ):
                 self.drop_ended_runs(worker, now_s)
             if self.is_removable(worker, now_s):
                 del self.state.workers[worker.id]
+                self.state.record_former(worker)
                 if worker.terminated:
                     self.state.record_ended(worker)
                 if worker.runs:
                     self.begin_incarnation(worker, now_s)
 
-    def has_expired(self, worker: Worker, now_s: float) -> bool:
-        """Return whether the lease of a worker's runs has expired."""
-        return bool(worker.failed_polls) and now_s > worker.lease_expiry_s()
+    def add_worker(self, record: WorkerRecord, now_s: float) -> Worker:
+        """Add a new incarnation of a worker.
+
+        Starts meant for the former one that may still be carried out are
+        stopped: it has forgotten which runs it must refuse, and their tasks
+        may have been done.
+        """
+        state = self.state
+        worker = Worker(record, now_s)
+        worker.clock_received_s = now_s
+        worker.foreign_lease_until_s = state.foreign_lease_until_s(record)
+        state.workers[record.id] = worker
+        former = state.former_of(record)
+        for name, number in former.late_starts if former else ():
+            run = Run(name, number, None, worker, now_s)
+            run.phase = STOPPING
+            run.unanswered_s = now_s
+            worker.add_run(run)
+        return worker
 
     def ended_runs(self, worker: Worker, now_s: float) -> list[Run]:
         """Return the runs that ended with a worker's lease or incarnation.
@@ -478,8 +514,10 @@
         report tells: the end of a run that was done before the lease expired
         is still listed, and its task must not start again.
 
-        If a worker has restarted under its id, a start that the earlier
-        incarnation has not confirmed may have reached the later one.
+        If a worker has restarted under its id, a start may have reached the
+        later incarnation unless the earlier one has listed the run and all
+        its starts were answered. A response does not tell which of the two
+        gave it.
         """
         runs = list(worker.runs.values())
         if not worker.terminated:
@@ -487,7 +525,12 @@
             return [run for run in runs if not (awaits and run.may_be_done)]
         record = self.state.registry.get(worker.id)
         if record and record.started_ms != worker.record.started_ms:
-            return [run for run in runs if run.confirmed_ms]
+            late_starts = worker.late_starts(now_s)
+            return [
+                run
+                for run in runs
+                if run.reported and run.key not in late_starts
+            ]
         return runs
 
     def drop_ended_runs(self, worker: Worker, now_s: float) -> None:
@@ -511,16 +554,8 @@
             self.record_end(run, END_EXPIRED, "")
 
     def begin_incarnation(self, worker: Worker, now_s: float) -> None:
-        """Replace a restarted worker whose starts may have reached the next.
-
-        The lease of such a run is limited only by the platform's maximum,
-        since its deadline was a time of the earlier incarnation's clock.
-        """
-        state = self.state
-        successor = Worker(state.registry[worker.id], now_s)
-        successor.clock_received_s = now_s
-        successor.lease_deadline_ms = state.settings.jobs.max_hold_ms
-        state.workers[worker.id] = successor
+        """Replace a restarted worker and hand its open runs over."""
+        successor = self.add_worker(self.state.registry[worker.id], now_s)
         for run in worker.hand_over_runs(successor):
             self.orders.await_report(run, now_s)
 
@@ -534,5 +569,5 @@
             return True
         if worker.runs:
             return False
-        silent = worker.failed_polls > 3 and now_s > worker.lease_expiry_s()
+        silent = worker.failed_polls > 3 and self.state.has_expired(worker)
         return not worker.in_registry and silent
--- a/cyclamenscale/jobs/state.py
+++ b/cyclamenscale/jobs/state.py
@@ -12,7 +12,9 @@
 from cyclamenscale.jobs.queue_history import QueueHistory
 from cyclamenscale.jobs.worker import (
     LEASE_EXPIRY_MARGIN_S,
+    MAX_CALL_DELAY_S,
     MIN_CLOCK_RATE,
+    REPEATED_CALL_DELAY_S,
     Worker,
 )
 from cyclamenscale.metrics import Metrics
@@ -42,6 +44,19 @@
 NEVER_S = -1e9
 
 
+#: Workers that a coordinator finds this soon after its election were there
+#: before.
+INHERITED_WITHIN_S = 2.0
+
+#: Largest step of a wall clock that the age of a worker allows for; the
+#: platform's bound for timed jobs on days on which clocks jump.
+WALL_CLOCK_STEP_S = 5.0
+
+#: Time after a worker's start within which an earlier leader may have called
+#: it as its former incarnation: it learns of the restart with the next poll.
+FORMER_CALLS_S = 2 * REPEATED_CALL_DELAY_S
+
+
 class LeaseCheck(Protocol):
     """Checks whether this entry holds the leader lease."""
 
@@ -76,6 +91,21 @@
     until_s: float
 
 
+class FormerIncarnation(NamedTuple):
+    """What may still reach the next incarnation under a worker's id.
+
+    :ivar started_ms: start of the former incarnation.
+    :ivar lease_until_s: until when a call meant for it may have given the
+        next one a lease.
+    :ivar late_starts: starts that may still be carried out, with the times
+        at which they were sent.
+    """
+
+    started_ms: int
+    lease_until_s: float
+    late_starts: dict[tuple[str, int], float]
+
+
 class State:
     """Jobs, workers and the manifest during one term.
 
@@ -124,6 +154,9 @@
         self.registry: dict[str, WorkerRecord] = {}
         #: Incarnations that have certainly ended, by worker id.
         self.ended: dict[str, EndedIncarnation] = {}
+        #: Incarnations that were removed, by worker id, for as long as calls
+        #: to them may matter.
+        self.former: dict[str, FormerIncarnation] = {}
         self.registry_read = False
         #: Machines that are up in the latest list, None before the first.
         self.up_machines: list[Machine] | None = None
@@ -199,6 +232,54 @@
         if started_ms:
             self.ended[worker.id] = EndedIncarnation(started_ms, until_s)
 
+    def record_former(self, worker: Worker) -> None:
+        """Record what may reach the next incarnation of a worker."""
+        now_s = self.clock()
+        late_starts = worker.late_starts(now_s)
+        arrival_s = max(
+            [
+                now_s + REPEATED_CALL_DELAY_S,
+                *(sent + MAX_CALL_DELAY_S for sent in late_starts.values()),
+            ]
+        )
+        self.former = {
+            name: former
+            for name, former in self.former.items()
+            if former.lease_until_s > now_s
+        }
+        self.former[worker.id] = FormerIncarnation(
+            worker.record.started_ms,
+            arrival_s + self.longest_lease_s,
+            late_starts,
+        )
+
+    def former_of(self, record: WorkerRecord) -> FormerIncarnation | None:
+        """Return the incarnation before that of a registration."""
+        former = self.former.get(record.id)
+        if former and former.started_ms != record.started_ms:
+            return former
+        return None
+
+    def foreign_lease_until_s(self, record: WorkerRecord) -> float:
+        """Return until when a new worker may hold a lease meant for another.
+
+        A worker that an earlier leader has used may have restarted under its
+        id lately. Its age is only known by wall clocks, which may jump.
+        """
+        now_s = self.clock()
+        former = self.former_of(record)
+        until_s = former.lease_until_s if former else 0.0
+        if record.started_ms and (
+            now_s - self.term.began_s < INHERITED_WITHIN_S
+        ):
+            age_s = self.wall() - record.started_ms / 1000
+            arrival_s = min(
+                FORMER_CALLS_S + WALL_CLOCK_STEP_S - age_s,
+                REPEATED_CALL_DELAY_S,
+            )
+            until_s = max(until_s, now_s + arrival_s + self.longest_lease_s)
+        return until_s if until_s > now_s else 0.0
+
     def has_ended(self, record: WorkerRecord) -> bool:
         """Return whether a registration is that of an ended incarnation."""
         ended = self.ended.get(record.id)
@@ -218,6 +299,12 @@
         jobs = self.settings.jobs
         return min(jobs.hold_s, jobs.max_hold_ms / 1000)
 
+    @property
+    def longest_lease_s(self) -> float:
+        """Return how long a lease can hold, whatever deadline it was given."""
+        longest_s = self.settings.jobs.max_hold_ms / 1000 / MIN_CLOCK_RATE
+        return longest_s + LEASE_EXPIRY_MARGIN_S
+
     @property
     def takeover_end_s(self) -> float:
         """Return when task leases of earlier terms have certainly expired."""
@@ -241,22 +328,50 @@
         """
         return worker.fence == self.term.fence and not worker.ends_truncated
 
-    def has_unread_ends(self, pools: frozenset[str] | None) -> bool:
-        """Return whether workers of some pools have more ends to report.
+    def has_unknown_runs(self, pools: frozenset[str] | None) -> bool:
+        """Return whether workers of some pools may have more to report.
 
         :param pools: names of the pools, None for all.
 
-        A worker that has become silent is waited for as long as the reports
-        of its own runs are.
+        That is so while a worker has more ends than it has listed, and until
+        the lease of one that was not polled yet has certainly expired. A
+        worker that has become silent is waited for as long as the reports of
+        its own runs are.
         """
         return any(
-            worker.ends_truncated
+            (pools is None or worker.record.pool in pools)
             and not worker.terminated
-            and (pools is None or worker.record.pool in pools)
-            and (not worker.failed_polls or self.awaits_report(worker))
+            and (
+                self.may_hold_foreign_lease(worker)
+                if worker.fence != self.term.fence
+                else worker.ends_truncated
+                and (not worker.failed_polls or self.awaits_report(worker))
+            )
             for worker in self.workers.values()
         )
 
+    def has_expired(self, worker: Worker) -> bool:
+        """Return whether the lease of a silent worker's runs has expired."""
+        now_s = self.clock()
+        if not worker.failed_polls or now_s > worker.lease_expiry_s():
+            return bool(worker.failed_polls)
+        gone = now_s > worker.own_lease_expiry_s()
+        return gone and not self.is_listed(worker)
+
+    def is_listed(self, worker: Worker) -> bool:
+        """Return whether a worker is registered or that of a machine.
+
+        One that is neither has ended.
+        """
+        return worker.in_registry or any(
+            machine.worker == worker.id for machine in self.up_machines or ()
+        )
+
+    def may_hold_foreign_lease(self, worker: Worker) -> bool:
+        """Return whether a worker may hold a lease meant for another."""
+        held = self.clock() < worker.foreign_lease_until_s
+        return held and self.is_listed(worker)
+
     def awaits_report(self, worker: Worker) -> bool:
         """Return whether a silent worker may still report ends."""
         until_s = worker.lease_expiry_s() + REPORT_WAIT_S
@@ -270,7 +385,7 @@
         The previous leader may still reach it and start tasks on it, and it
         may have done tasks whose ends nobody has read.
         """
-        return any(
+        return self.has_unknown_runs(pools) or any(
             (pools is None or worker.record.pool in pools)
             and not self.is_taken_over(worker)
             and self.is_alive(worker)
--- a/cyclamenscale/jobs/worker.py
+++ b/cyclamenscale/jobs/worker.py
@@ -17,6 +17,19 @@
 #: Time for a worker to kill its runs once their lease has expired.
 LEASE_EXPIRY_MARGIN_S = 0.3
 
+#: A call without a response may be carried out this much later; orders were
+#: 2 to 12 s late on the users' bench.
+MAX_CALL_DELAY_S = 12.0
+
+#: Time within which polls sent to an incarnation that has ended reach the
+#: next one: the transport repeats a call on a broken connection until its
+#: timeout, which is 1.25 s for a poll.
+REPEATED_CALL_DELAY_S = 1.5
+
+#: Largest error of an estimate of a worker's clock in an order's response,
+#: which may be on its way for as long as an order may take.
+CLOCK_ESTIMATE_ERROR_MS = 1000
+
 #: Tolerance for rounding errors in sums of resources.
 EPSILON = 1e-6
 
@@ -24,6 +37,9 @@
 #: reported in whole percent, and a run of 30 s gains two percent in it.
 RATE_INTERVAL_S = 0.5
 
+#: Number of times that a start is sent before its run is stopped.
+MAX_START_TRIES = 2
+
 #: Phases of a run.
 STARTING = "starting"
 UNCONFIRMED = "doubtful"
@@ -51,6 +67,7 @@
     :ivar ticket: placement ticket that its start carries, or empty.
     :ivar tries: starts or stops sent without a response, -1 once a stop was
         accepted.
+    :ivar reported: whether its worker's current incarnation has listed it.
     :ivar inherited: whether another term started it, so that its start time
         is unknown.
     :ivar in_flight: whether an order for it has no response yet.
@@ -71,6 +88,7 @@
         "percent",
         "phase",
         "rate",
+        "reported",
         "started_s",
         "task",
         "throttle_percent",
@@ -109,6 +127,7 @@
         self.ticket = ""
         self.tries = 0
         self.inherited = False
+        self.reported = False
         self.in_flight = False
         self.unanswered_s = 0.0
 
@@ -155,6 +174,12 @@
         have been given, on its own clock.
     :ivar lease_extended_s: when an order or poll that extends that lease was
         last sent.
+    :ivar foreign_lease_until_s: until when a lease may hold that a call
+        meant for an earlier incarnation has given it. Such a deadline is a
+        time of another clock; the worker shortens it to the platform's
+        maximum, which may be longer than ``lease_deadline_ms``.
+    :ivar unanswered_starts: when starts were sent whose response was lost,
+        by run; they may still be carried out, also by a later incarnation.
     :ivar last_response_s: when it last responded to a poll with a report.
     :ivar expiry_logged: whether the expiry of its runs' lease was logged
         since its last report.
@@ -167,6 +192,7 @@
     :ivar last_applied_end: number of the last end that was applied.
     :ivar last_acknowledged_end: number of the last end whose effect is
         stored.
+    :ivar forgotten_end: number up to which it has certainly forgotten ends.
     :ivar ends_truncated: whether its latest report had as many ends as one
         holds, so that it may lack later ones.
     :ivar in_registry: whether it is registered, or was until recently.
@@ -196,6 +222,8 @@
         self.clock_received_s = 0.0
         self.lease_deadline_ms = 0
         self.lease_extended_s = 0.0
+        self.foreign_lease_until_s = 0.0
+        self.unanswered_starts: dict[tuple[str, int], float] = {}
         self.first_seen_s = now_s
         self.last_response_s = -1e9
         self.expiry_logged = False
@@ -208,6 +236,7 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.last_applied_end = 0
         self.last_acknowledged_end = 0
+        self.forgotten_end = 0
         self.ends_truncated = False
         self.in_registry = True
         self.registered_s = -1e9
@@ -242,8 +271,42 @@
             self.clock_ms = clock_ms
             self.clock_received_s = now_s
 
+    def is_plausible_clock(self, clock_ms: int, now_s: float) -> bool:
+        """Return whether a clock in a response is that of this incarnation.
+
+        An order may have reached a later incarnation, whose clock differs by
+        any amount.
+        """
+        if not clock_ms or not self.clock_ms:
+            return True
+        expected_ms = self.clock_ms + (now_s - self.clock_received_s) * 1000
+        error_ms = CLOCK_ESTIMATE_ERROR_MS + (1 - MIN_CLOCK_RATE) * max(
+            expected_ms - self.clock_ms, 0.0
+        )
+        return abs(clock_ms - expected_ms) <= error_ms
+
+    def record_unanswered_start(
+        self, key: tuple[str, int], now_s: float
+    ) -> None:
+        """Record a start that may still be carried out."""
+        self.unanswered_starts[key] = now_s
+        self.unanswered_starts = self.late_starts(now_s)
+
+    def late_starts(self, now_s: float) -> dict[tuple[str, int], float]:
+        """Return the unanswered starts that may still be carried out."""
+        since_s = now_s - MAX_CALL_DELAY_S
+        return {
+            key: sent_s
+            for key, sent_s in self.unanswered_starts.items()
+            if sent_s > since_s
+        }
+
     def lease_expiry_s(self) -> float:
         """Return when the lease of its runs has certainly expired."""
+        return max(self.own_lease_expiry_s(), self.foreign_lease_until_s)
+
+    def own_lease_expiry_s(self) -> float:
+        """Return when the lease that it was meant to have has expired."""
         remaining_ms = self.lease_deadline_ms - self.clock_ms
         return (
             self.clock_received_s
@@ -276,10 +339,18 @@
         self.update_allocated()
 
     def hand_over_runs(self, successor: "Worker") -> list[Run]:
-        """Move the remaining runs to the next incarnation."""
+        """Move the remaining runs to the next incarnation.
+
+        Nothing that was known of them holds there. Those that it does not
+        list are stopped: it may be of another kind, and tickets and room
+        were those of the earlier one.
+        """
         runs, self.runs = list(self.runs.values()), {}
         for run in runs:
             run.worker = successor
+            run.confirmed_ms = 0
+            run.reported = False
+            run.tries = 0 if run.phase == STOPPING else MAX_START_TRIES
             successor.runs[run.key] = run
         successor.update_allocated()
         return runs
@@ -369,6 +440,7 @@
         """Update a run from a report of the worker."""
         if run.phase in (STARTING, UNCONFIRMED):
             run.phase = RUNNING
+        run.reported = True
         run.confirmed_ms = max(run.confirmed_ms, clock_ms)
         run.percent = report.percent
         run.update_rate(now_s)
--- a/test/jobs/world.py
+++ b/test/jobs/world.py
@@ -61,6 +61,9 @@
 #: Interval at which workers write to the registry.
 REGISTRATION_INTERVAL_S = 1.5
 
+#: Longest lease that a worker grants, as in the default settings.
+LONGEST_LEASE_MS = 10000
+
 #: Orders starts and ends that happen at the same virtual time.
 SEQUENCE = count(1)
 
@@ -224,6 +227,11 @@
         """Return the time of the worker's own clock."""
         return int((self.clock() - self.started_s) * 1000)
 
+    def extend_lease(self, deadline_ms: int) -> None:
+        """Extend the lease, at most to the platform's maximum."""
+        longest_ms = self.now_ms() + LONGEST_LEASE_MS
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
+
     def expire_lease(self) -> None:
         """Kill all runs once their lease has expired.
 
@@ -321,7 +329,7 @@
                 return OrderResponse(False, "old", clock_ms)
             if order.deadline_ms <= clock_ms:
                 return OrderResponse(False, "late", clock_ms)
-            found.deadline_ms = max(found.deadline_ms, order.deadline_ms)
+            found.extend_lease(order.deadline_ms)
             self.world.check_start(found, order)
             self.world.starts.setdefault(order.task, []).append(next(SEQUENCE))
             self.world.on_start(order)
@@ -366,7 +374,7 @@
             if request.fence < found.fence:
                 return OrderResponse(False, "fence", clock_ms)
             found.fence = request.fence
-            found.deadline_ms = max(found.deadline_ms, request.deadline_ms)
+            found.extend_lease(request.deadline_ms)
             for end in found.ends:
                 if end.number <= request.acknowledged_end:
                     self.world.record_acknowledged(found, end)
