Count a job as begun once a worker has confirmed a run of it

Cause: sending a start marked the job as running, and the store kept that whether or not the start had any effect.

Change: a job runs once a worker has accepted a start or has listed a run or an end of it. At a start only the run number is stored. A job without stored progress begins its run numbers after a takeover beyond those that may have been used.

--- a/cyclamenscale/jobs/coordinator.py
+++ b/cyclamenscale/jobs/coordinator.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from cyclamenscale.jobs.advice import Tickets
-from cyclamenscale.jobs.job import Job
+from cyclamenscale.jobs.job import TAKEOVER_RUN_GAP, Job
 from cyclamenscale.jobs.ledger import Ledger, OnStored
 from cyclamenscale.jobs.machines import MachineOperations
 from cyclamenscale.jobs.model import (
@@ -103,6 +103,8 @@
         job.needs_confirmed_lease = not state.lease_confirmed()
         if restored:
             job.unpolled_until_s = state.takeover_end_s
+            # Starts of earlier terms may not be stored yet.
+            job.highest_run = TAKEOVER_RUN_GAP
         elif not job.long_running:
             state.arrivals.record(
                 queue.pool, job.estimated_work, state.clock()
--- a/cyclamenscale/jobs/job.py
+++ b/cyclamenscale/jobs/job.py
@@ -207,8 +207,16 @@
         self.highest_run += 1
         return self.highest_run
 
+    def mark_start_sent(self) -> None:
+        """Have the highest run number stored; no run may have begun yet."""
+        if self.state == QUEUED:
+            self.dirty = True
+
     def mark_running(self) -> bool:
-        """Mark the job as running; return whether it was queued."""
+        """Mark the job as running, as a worker has begun one of its tasks.
+
+        :returns: whether it was queued.
+        """
         if self.state != QUEUED:
             return False
         self.state = RUNNING
--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -87,9 +87,7 @@
         task.runs.append(run)
         if task in task.step.waiting:
             task.step.waiting.remove(task)
-        if task.job.mark_running():
-            age_ms = (state.clock() - task.job.accepted_s) * 1000
-            state.metrics.timing("jobs.first_start_ms", age_ms)
+        task.job.mark_start_sent()
         state.events.note(
             "task.start",
             task=task.name,
@@ -128,6 +126,13 @@
             lambda done: self.handle_start_response(run, repeated, done)
         )
 
+    def record_begun(self, task: Task) -> None:
+        """Record that a worker has begun a task."""
+        job = task.job
+        if job.mark_running():
+            age_ms = (self.state.clock() - job.accepted_s) * 1000
+            self.state.metrics.timing("jobs.first_start_ms", age_ms)
+
     def record_clock(self, worker: Worker, response: OrderResponse) -> bool:
         """Record the clock in a response to an order.
 
@@ -192,6 +197,8 @@
                 return
             if run.phase in (STARTING, UNCONFIRMED):
                 run.phase = RUNNING
+            if run.task:
+                self.record_begun(run.task)
             run.confirmed_ms = max(run.confirmed_ms, response.clock_ms)
             run.tries = 0
             self.state.metrics.incr("jobs.starts_accepted")
--- a/cyclamenscale/jobs/polling.py
+++ b/cyclamenscale/jobs/polling.py
@@ -302,6 +302,8 @@
             run = worker.runs.get(key)
             if run:
                 worker.update_run(run, run_report, report.clock_ms, now_s)
+                if run.task:
+                    self.orders.record_begun(run.task)
             else:
                 self.inherit_run(worker, run_report, report.clock_ms, now_s)
         worker.ends_truncated = len(report.ends) >= MAX_REPORTED_ENDS
@@ -349,7 +351,7 @@
         task.runs.append(run)
         if task in task.step.waiting:
             task.step.waiting.remove(task)
-        job.mark_running()
+        self.orders.record_begun(task)
         if other_run and not task.step.spec.allows_copies:
             self.orders.stop(run, "another run of the task is known")
 
@@ -404,6 +406,8 @@
                 clock_ms=worker.reported_ms,
                 deadline_ms=worker.lease_deadline_ms,
             )
+        if task:
+            self.orders.record_begun(task)
         self.record_end(run, end.outcome, end.checkpoint)
 
     def record_end(self, run: Run, outcome: str, checkpoint: str) -> None:
