Remove ended jobs as fast as they come

Cause: ten jobs were removed each two seconds, whatever the traffic.

Change: while more jobs are due the next removal follows after 0.1 s, one at a time; a failed one waits as before. Removed jobs leave the leader's index with the response, and are counted.

Evidence: test_ended_jobs_are_removed_faster_than_they_come and test_removals_wait_for_the_one_before failed before.

--- a/cyclamenscale/jobs/entry.py
+++ b/cyclamenscale/jobs/entry.py
@@ -72,8 +72,11 @@
 #: Interval at which an entry checks the speed of its machine.
 SPEED_CHECK_INTERVAL_S = 0.25
 
-#: Interval between removals of ended jobs.
+#: Interval between removals of ended jobs, and between two of them while more
+#: are due. A leader then removes 100 jobs a second at most, with a small part
+#: of the writes that the store allows.
 REMOVAL_INTERVAL_S = 2.0
+QUICK_REMOVAL_INTERVAL_S = 0.1
 
 
 class Decoders(NamedTuple):
@@ -140,6 +143,7 @@
         self.registry: WorkerRegistry | None = None
         self.decision_scheduled = False
         self.next_removal_s = 0.0
+        self.removal_in_flight = False
         self.peer_calls = peer_calls
         self.responder: Responder | None = None
         self.take_http_load: Callable[[], HttpLoad] = HttpLoad
@@ -591,21 +595,42 @@
     def remove_ended_jobs(self) -> None:
         """Remove jobs from the store whose retention time has passed."""
         now_s = self.loop.clock()
-        if not self.coordinator or now_s < self.next_removal_s:
+        if (
+            not self.coordinator
+            or self.removal_in_flight
+            or now_s < self.next_removal_s
+        ):
             return
         self.next_removal_s = now_s + REMOVAL_INTERVAL_S
         before_s = now_s - self.settings.jobs.retention_s
         jobs = self.job_index.ended_before(before_s, REMOVED_PER_TXN)
         if jobs:
+            self.removal_in_flight = True
             removed = self.coordinator.ledger.remove(jobs)
-            removed.add_done_callback(self.handle_removal)
+            removed.add_done_callback(
+                lambda done: self.handle_removal(jobs, done)
+            )
+
+    def handle_removal(self, jobs: list[str], done: Future) -> None:
+        """Forget the jobs that were removed; continue soon if more are due.
 
-    def handle_removal(self, done: Future) -> None:
-        """Log a failed removal; the next one includes the same jobs."""
+        A failed removal is logged; the next one includes the same jobs.
+        """
+        self.removal_in_flight = False
         if done.exception():
             self.events.note(
                 "board.removal_failed", reason=str(done.exception())
             )
+            return
+        if not done.result().succeeded:
+            # Another entry leads.
+            return
+        self.metrics.incr("jobs.removed", len(jobs))
+        for job in jobs:
+            self.job_index.jobs.pop(job, None)
+        if len(jobs) == REMOVED_PER_TXN:
+            now_s = self.loop.clock()
+            self.next_removal_s = now_s + QUICK_REMOVAL_INTERVAL_S
 
     def last_store_response_s(self) -> float:
         """Return when the store last responded to a watch."""
--- a/test/jobs/test_entry.py
+++ b/test/jobs/test_entry.py
@@ -7,9 +7,25 @@
 import pytest
 
 from cyclamenscale.jobs.coordinator import Ports
-from cyclamenscale.jobs.entry import JobEntry
-from cyclamenscale.jobs.keys import LEADER, job_key
-from cyclamenscale.jobs.model import JobRecord, JobSpec, Manifest
+from cyclamenscale.jobs.entry import (
+    PERIOD_S,
+    REMOVAL_INTERVAL_S,
+    JobEntry,
+)
+from cyclamenscale.jobs.keys import (
+    JOB,
+    LEADER,
+    PROGRESS,
+    job_key,
+    progress_key,
+)
+from cyclamenscale.jobs.model import (
+    DONE,
+    JobRecord,
+    JobSpec,
+    Manifest,
+    ProgressRecord,
+)
 from cyclamenscale.metrics import Metrics
 from cyclamenscale.store.port import KeyValue, RangeResult
 from cyclamenscale.util.codec import encode_record
@@ -137,3 +153,64 @@
     entry.replace_operator([KeyValue("op/config", b"9", 5, 9)], 9)
     assert entry.queue_history.pools_since(QUEUE, 4) is None
     assert entry.queue_history.pools_since(QUEUE, 9) == {QUEUE.pool}
+
+
+def leader_with_ended_jobs(entry, jobs):
+    """Let an entry lead, with stored jobs whose retention has passed."""
+    store, world = entry.ports.store, entry.ports.workers.world
+    for number in range(jobs):
+        name = f"j{number}"
+        record = RECORD._replace(id=name)
+        store.put(job_key(name), encode_record(record))
+        progress = encode_record(ProgressRecord(DONE))
+        store.put(progress_key(name), progress)
+    entry.election.compete()
+    items = list(store.items.values())
+    entry.job_index.replace(items, store.revision, world.clock())
+    world.clock.advance(entry.settings.jobs.retention_s + 1.0)
+    return world
+
+
+def remove_for(entry, world, for_s):
+    """Let an entry remove ended jobs for a while; return how many stay."""
+    end_s = world.clock() + for_s
+    while world.clock() < end_s:
+        entry.remove_ended_jobs()
+        world.clock.advance(PERIOD_S)
+    return sum(key.startswith(JOB) for key in entry.ports.store.items)
+
+
+def test_ended_jobs_are_removed_faster_than_they_come(entry):
+    """Guards against a store and entries that grow without an end.
+
+    Ten jobs every two seconds were removed, and a queue of the smallest site
+    alone gets as many in a second.
+    """
+    world = leader_with_ended_jobs(entry, 500)
+    assert remove_for(entry, world, 6.0) == 0
+    assert not entry.job_index.jobs
+    assert not any(key.startswith(PROGRESS) for key in entry.ports.store.items)
+
+
+def test_removals_wait_for_the_one_before(entry):
+    """Guards against writes that pile up while the store does not answer."""
+    world = leader_with_ended_jobs(entry, 50)
+    entry.ports.store.mode = "silent"
+    remove_for(entry, world, 10.0)
+    assert len(entry.ports.store.unanswered) == 1
+    entry.ports.store.mode = "up"
+    entry.ports.store.expire()
+    assert remove_for(entry, world, 10.0) == 0
+
+
+def test_a_failed_removal_is_repeated_later(entry):
+    """Guards against a busy loop of writes that the store refuses."""
+    world = leader_with_ended_jobs(entry, 50)
+    store = entry.ports.store
+    calls = []
+    txn = store.txn
+    store.txn = lambda *args: calls.append(args) or txn(*args)
+    store.mode = "down"
+    assert remove_for(entry, world, 10.0) == 50
+    assert len(calls) <= 10.0 / REMOVAL_INTERVAL_S + 1
+    assert len(entry.job_index.jobs) == 50
