--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -186,6 +186,10 @@
     sent = replans.finished() + bookings.finished()
     print(f"change after the outage in force: {in_force_s:.1f} s")
     print(f"repeatable: {outcomes(replans.finished())}")
+    for each in replans.finished():
+        if each.result.outcome != "answered":
+            began_s = each.began_s - up_s
+            print(f"{began_s:.2f} s after the outage: {each}")
     print(f"new keys in the outage: {outcomes(in_outage)}")
     print(f"keys with {lost:.0f} lost answers: {outcomes(lossy)}")
     assert lost > 0
