Don't shorten the wait for a lease by a response with another clock

Cause: found while reading the change: a response that can't be from the known incarnation replaced the time until which a lease may hold, also by an earlier one.

Change: the later of the two counts.

Evidence: test_a_response_with_another_clock_shortens_no_wait failed before.

--- a/cyclamenscale/jobs/orders.py
+++ b/cyclamenscale/jobs/orders.py
@@ -151,7 +151,9 @@
             known_ms=worker.clock_ms,
             known_age_s=round(now_s - worker.clock_received_s, 3),
         )
-        worker.foreign_lease_until_s = now_s + self.state.longest_lease_s
+        worker.foreign_lease_until_s = max(
+            worker.foreign_lease_until_s, now_s + self.state.longest_lease_s
+        )
         worker.request_immediate_poll(now_s)
         return False
 
--- a/test/jobs/test_former_incarnations.py
+++ b/test/jobs/test_former_incarnations.py
@@ -8,6 +8,7 @@
 
 from cyclamenscale.fleet.ports import Resources
 from cyclamenscale.jobs.model import Step
+from cyclamenscale.jobs.ports import OrderResponse
 from cyclamenscale.jobs.state import INHERITED_WITHIN_S
 from cyclamenscale.jobs.worker import MAX_CALL_DELAY_S
 from test.jobs.test_coordinator import restart
@@ -207,6 +208,17 @@
     assert len(world.running("j1")) == 2
 
 
+def test_a_response_with_another_clock_shortens_no_wait():
+    """Guards against a lease that is waited for too shortly."""
+    world, worker = world_with()
+    record = world.coordinator.state.workers["pool-a-0"]
+    later_s = world.clock() + 2 * LONGEST_LEASE_S
+    record.foreign_lease_until_s = later_s
+    response = OrderResponse(True, "", worker.now_ms() - 3000000)
+    assert not world.coordinator.orders.record_clock(record, response)
+    assert record.foreign_lease_until_s == later_s
+
+
 def takeover_beside_a_silent_worker(age_s, gone=False):
     """Return the time after a takeover until a job's tasks start again.
 
