--- a/test/soak/seeds.py
+++ b/test/soak/seeds.py
@@ -10,4 +10,6 @@
     10: "TWICE: as 8, after a pause of the leader",
     30: "TWICE: as 8, after a change of the leader",
     33: "TWICE: the soak delivered a held start to the next life of a worker",
+    306: "AVAIL, open: an upkeep order without an answer was repeated after "
+    "other tasks of the step had been stopped on a leaving worker",
 }
